Change: [Table] rename the package platform to table

Cause: the folder platform/ at the root becomes the adapter to the users' platform; two packages of one name confuse. The package is the client of the project's own table service.

No behaviour changes.

--- a/include/daisylead/core/action_type.hpp
+++ b/include/daisylead/core/action_type.hpp
@@ -5,8 +5,8 @@
 #include <daisylead/core/publish_type.hpp>
 #include <daisylead/orders/order_type.hpp>
 #include <daisylead/peer/message_type.hpp>
-#include <daisylead/platform/table_type.hpp>
 #include <daisylead/request/request_type.hpp>
+#include <daisylead/table/table_type.hpp>
 
 #include <chrono>
 #include <memory>
@@ -73,15 +73,15 @@
 /** Runs a transaction of the platform's table. */
 struct run_transaction
 {
-    operation_id m_operation;                    ///< for the answer
-    platform::table_transaction m_transaction{}; ///< what to do
+    operation_id m_operation;                 ///< for the answer
+    table::table_transaction m_transaction{}; ///< what to do
 };
 
 /** Reads rows of the platform's table. */
 struct read_table
 {
-    operation_id m_operation;       ///< for the answer
-    platform::table_read m_query{}; ///< what to read
+    operation_id m_operation;    ///< for the answer
+    table::table_read m_query{}; ///< what to read
 };
 
 /** Reads an object. */
--- a/include/daisylead/core/event_type.hpp
+++ b/include/daisylead/core/event_type.hpp
@@ -4,10 +4,10 @@
 #include <daisylead/core/operation_type.hpp>
 #include <daisylead/orders/order_type.hpp>
 #include <daisylead/peer/message_type.hpp>
-#include <daisylead/platform/table_type.hpp>
 #include <daisylead/prefix/cache_event_type.hpp>
 #include <daisylead/request/request_type.hpp>
 #include <daisylead/routing/upstream_type.hpp>
+#include <daisylead/table/table_type.hpp>
 
 #include <optional>
 #include <string>
@@ -47,15 +47,15 @@
 /** Answer to run_transaction. */
 struct transaction_ended
 {
-    operation_id m_operation;              ///< of the action
-    platform::transaction_reply m_reply{}; ///< outcome
+    operation_id m_operation;           ///< of the action
+    table::transaction_reply m_reply{}; ///< outcome
 };
 
 /** Answer to read_table. */
 struct table_read_ended
 {
-    operation_id m_operation;       ///< of the action
-    platform::read_reply m_reply{}; ///< rows, if it succeeded
+    operation_id m_operation;    ///< of the action
+    table::read_reply m_reply{}; ///< rows, if it succeeded
 };
 
 /** Answer to read_object. */
@@ -76,7 +76,7 @@
 struct machines_listed
 {
     /** Absent if the list could not be read. */
-    std::optional<std::vector<platform::listed_machine>> m_machines;
+    std::optional<std::vector<table::listed_machine>> m_machines;
 };
 
 /** Answer to send_to_peer. */
--- a/include/daisylead/lease/lease_keeper_base.hpp
+++ b/include/daisylead/lease/lease_keeper_base.hpp
@@ -2,7 +2,7 @@
 #pragma once
 
 #include <daisylead/lease/lease_voter_base.hpp>
-#include <daisylead/platform/table_type.hpp>
+#include <daisylead/table/table_type.hpp>
 
 #include <chrono>
 #include <cstdint>
@@ -52,8 +52,8 @@
 /** Sends a transaction; its outcome goes to transaction_done(). */
 struct lease_transaction
 {
-    std::uint64_t m_number = 0;                ///< identifies the outcome
-    platform::table_transaction m_transaction; ///< what to write
+    std::uint64_t m_number = 0;             ///< identifies the outcome
+    table::table_transaction m_transaction; ///< what to write
 };
 
 /** Sends a request to a peer; its reply goes to reply_received(). */
@@ -98,12 +98,12 @@
     /** The table was read; the caller reads the rows about once a second.
      *  @param rows rows found; absent ones are left out
      *  @param sent_at when the read was sent */
-    void table_read(std::vector<platform::table_row> const& rows,
+    void table_read(std::vector<table::table_row> const& rows,
                     time_point sent_at, time_point now);
 
     /** A transaction ended. */
     void transaction_done(std::uint64_t number,
-                          platform::transaction_reply const& reply,
+                          table::transaction_reply const& reply,
                           time_point now);
 
     /** @pre the sender's incarnation is not superseded
@@ -178,7 +178,7 @@
                         std::int64_t version, time_point now);
     static void lose(lease_row& item);
     void transaction_committed(open_transaction const& sent,
-                               platform::transaction_reply const& reply,
+                               table::transaction_reply const& reply,
                                time_point now);
     void expire_transactions(time_point now);
     void outcome_unknown(open_transaction const& sent, time_point now);
--- a/include/daisylead/membership/member_table_base.hpp
+++ b/include/daisylead/membership/member_table_base.hpp
@@ -3,7 +3,7 @@
 
 #include <daisylead/membership/fence_base.hpp>
 #include <daisylead/membership/membership_type.hpp>
-#include <daisylead/platform/table_type.hpp>
+#include <daisylead/table/table_type.hpp>
 
 #include <chrono>
 #include <cstdint>
@@ -83,7 +83,7 @@
     void set_peer_addresses(std::vector<std::string> const& addresses);
 
     /** A list came from the platform. While it fails, the last one stays. */
-    void list_received(std::vector<platform::listed_machine> const& machines,
+    void list_received(std::vector<table::listed_machine> const& machines,
                        time_point now);
 
     /** The table answered a request that was sent at this time. */
--- a/include/daisylead/request/claim_flow_base.hpp
+++ b/include/daisylead/request/claim_flow_base.hpp
@@ -36,11 +36,11 @@
 
     /** Takes the answer to a claim_transact. */
     actions on_transaction(std::uint64_t call,
-                           platform::transaction_reply const& reply,
+                           table::transaction_reply const& reply,
                            time_point now);
 
     /** Takes the answer to a claim_read. */
-    actions on_read(std::uint64_t call, platform::read_reply const& reply,
+    actions on_read(std::uint64_t call, table::read_reply const& reply,
                     time_point now);
 
     /** Takes the answer to a claim_read_object; nothing if it failed. */
--- a/include/daisylead/request/claim_type.hpp
+++ b/include/daisylead/request/claim_type.hpp
@@ -1,8 +1,8 @@
 /** @file Calls, actions and limits of claims on non-repeatable requests. */
 #pragma once
 
-#include <daisylead/platform/table_type.hpp>
 #include <daisylead/request/request_type.hpp>
+#include <daisylead/table/table_type.hpp>
 
 #include <chrono>
 #include <cstdint>
@@ -28,15 +28,15 @@
 /** Runs a table transaction; answered by claim_flow::on_transaction. */
 struct claim_transact
 {
-    std::uint64_t m_call = 0;                    ///< names the call
-    platform::table_transaction m_transaction{}; ///< what to run
+    std::uint64_t m_call = 0;                 ///< names the call
+    table::table_transaction m_transaction{}; ///< what to run
 };
 
 /** Reads table rows; answered by claim_flow::on_read. */
 struct claim_read
 {
-    std::uint64_t m_call = 0;       ///< names the call
-    platform::table_read m_query{}; ///< what to read
+    std::uint64_t m_call = 0;    ///< names the call
+    table::table_read m_query{}; ///< what to read
 };
 
 /** Writes an object; answered by claim_flow::on_object_written. */
--- a/include/daisylead/platform/platform_client_base.hpp
+++ b/include/daisylead/table/table_client_base.hpp
@@ -2,7 +2,7 @@
 #pragma once
 
 #include <daisylead/http/client_base.hpp>
-#include <daisylead/platform/table_type.hpp>
+#include <daisylead/table/table_type.hpp>
 
 #include <chrono>
 #include <functional>
@@ -10,7 +10,7 @@
 #include <string>
 #include <vector>
 
-namespace daisylead::platform
+namespace daisylead::table
 {
 
 /** Where the platform is and how long a call may take. */
@@ -21,11 +21,11 @@
 };
 
 /** Calls the platform by HTTP. Replies come on the HTTP client's thread. */
-class platform_client
+class table_client
 {
 public:
     /** @param client must outlive this object */
-    platform_client(platform_options options, http::client& client);
+    table_client(platform_options options, http::client& client);
 
     /** Runs a transaction. */
     void transact(table_transaction const& transaction,
@@ -56,4 +56,4 @@
     http::client& m_client;
 };
 
-} // namespace daisylead::platform
+} // namespace daisylead::table
--- a/include/daisylead/platform/table_type.hpp
+++ b/include/daisylead/table/table_type.hpp
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-namespace daisylead::platform
+namespace daisylead::table
 {
 
 /** One row; versions grow with every write and are never used twice. */
@@ -87,4 +87,4 @@
     bool m_leaving = false; ///< about to be removed
 };
 
-} // namespace daisylead::platform
+} // namespace daisylead::table
--- a/src/core/config_follower.cpp
+++ b/src/core/config_follower.cpp
@@ -22,14 +22,14 @@
 
 } // namespace
 
-config_head parse_config_head(platform::read_reply const& reply)
+config_head parse_config_head(table::read_reply const& reply)
 {
     config_head head;
     if (reply.m_rows.empty())
     {
         return head;
     }
-    platform::table_row const& row = reply.m_rows.front();
+    table::table_row const& row = reply.m_rows.front();
     try
     {
         json const value = json::parse(row.m_value);
@@ -145,7 +145,7 @@
     schedule_fetch(now);
 }
 
-void config_follower::on_head(platform::read_reply const& reply, time_point now)
+void config_follower::on_head(table::read_reply const& reply, time_point now)
 {
     if (!reply.m_ok)
     {
--- a/src/core/config_follower.hpp
+++ b/src/core/config_follower.hpp
@@ -3,7 +3,7 @@
 
 #include <daisylead/base/error_type.hpp>
 #include <daisylead/config/configuration_type.hpp>
-#include <daisylead/platform/table_type.hpp>
+#include <daisylead/table/table_type.hpp>
 
 #include <memory>
 #include <optional>
@@ -31,7 +31,7 @@
 
 /** @return the head in a reply; version 0 if the row is absent.
  *  @throws daisylead::error if the row is not valid */
-config_head parse_config_head(platform::read_reply const& reply);
+config_head parse_config_head(table::read_reply const& reply);
 
 /** @return the JSON text of a head. */
 std::string serialise(config_head const& head);
@@ -76,7 +76,7 @@
     }
 
     /** The head was read, or could not be read. */
-    void on_head(platform::read_reply const& reply, time_point now);
+    void on_head(table::read_reply const& reply, time_point now);
 
     /** A peer announced a version. */
     void on_announced(instance_id const& peer, config_version version,
--- a/src/core/config_publisher.cpp
+++ b/src/core/config_publisher.cpp
@@ -89,8 +89,8 @@
 }
 
 std::vector<publisher_action>
-config_publisher::on_head(operator_token call,
-                          platform::read_reply const& reply, time_point now)
+config_publisher::on_head(operator_token call, table::read_reply const& reply,
+                          time_point now)
 {
     auto const found = m_jobs.find(call);
     if (found == m_jobs.end())
@@ -155,16 +155,14 @@
     next.m_hash = item.m_configuration->m_hash;
     next.m_token = item.m_write_token;
     next.m_tokens.emplace_back(next.m_version, item.m_write_token);
-    platform::table_transaction transaction;
+    table::table_transaction transaction;
     transaction.m_conditions = {{config_head_row, item.m_head.m_row_version}};
     transaction.m_puts = {{config_head_row, serialise(next)}};
     return {publisher_commit{call, std::move(transaction)}};
 }
 
-std::vector<publisher_action>
-config_publisher::on_commit(operator_token call,
-                            platform::transaction_reply const& reply,
-                            time_point now)
+std::vector<publisher_action> config_publisher::on_commit(
+    operator_token call, table::transaction_reply const& reply, time_point now)
 {
     auto const found = m_jobs.find(call);
     if (found == m_jobs.end())
@@ -173,15 +171,15 @@
     }
     switch (reply.m_status)
     {
-    case platform::transaction_status::committed:
+    case table::transaction_status::committed:
         return take_committed(call, found->second, now);
-    case platform::transaction_status::not_applied:
+    case table::transaction_status::not_applied:
         return end(found,
                    make_answer(call, publish_status::failed, config_version(0),
                                "not committed: the platform's table "
                                "cannot be reached"));
-    case platform::transaction_status::conflict:
-    case platform::transaction_status::unknown:
+    case table::transaction_status::conflict:
+    case table::transaction_status::unknown:
         break;
     }
     // A conflict can be our own write whose first answer was lost, so both
--- a/src/core/config_publisher.hpp
+++ b/src/core/config_publisher.hpp
@@ -29,8 +29,8 @@
 
 struct publisher_commit
 {
-    operator_token m_token = 0;                ///< the call
-    platform::table_transaction m_transaction; ///< compare-and-set of the head
+    operator_token m_token = 0;             ///< the call
+    table::table_transaction m_transaction; ///< compare-and-set of the head
 };
 
 /** The version was committed; the instance takes it over at once. */
@@ -61,11 +61,11 @@
                                           time_point now);
 
     std::vector<publisher_action> on_head(operator_token call,
-                                          platform::read_reply const& reply,
+                                          table::read_reply const& reply,
                                           time_point now);
     std::vector<publisher_action> on_object(operator_token call, bool stored);
     std::vector<publisher_action>
-    on_commit(operator_token call, platform::transaction_reply const& reply,
+    on_commit(operator_token call, table::transaction_reply const& reply,
               time_point now);
 
     /** Ends a call whose version is in force everywhere. */
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -243,7 +243,7 @@
     update_state(now);
 }
 
-void fleet::take_head(platform::read_reply const& reply, time_point sent_at,
+void fleet::take_head(table::read_reply const& reply, time_point sent_at,
                       time_point now)
 {
     m_table_reachable = reply.m_ok;
--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -84,7 +84,7 @@
     void take_configuration(time_point now);
     void take_evidence(membership::peer_evidence const& evidence,
                        time_point now);
-    void take_head(platform::read_reply const& reply, time_point sent_at,
+    void take_head(table::read_reply const& reply, time_point sent_at,
                    time_point now);
     void check_acceptance(time_point now);
     void send_pings(time_point now);
--- a/src/daemon/instance.cpp
+++ b/src/daemon/instance.cpp
@@ -7,7 +7,7 @@
 
 #include <daisylead/core/control_base.hpp>
 #include <daisylead/http/server_base.hpp>
-#include <daisylead/platform/platform_client_base.hpp>
+#include <daisylead/table/table_client_base.hpp>
 #include <daisylead/telemetry/log_func.hpp>
 #include <daisylead/telemetry/metrics_base.hpp>
 
@@ -53,7 +53,7 @@
         : m_settings(std::move(settings)), m_incarnation(wall_clock_ms()),
           m_platform(
               {m_settings.m_platform_address, m_settings.m_platform_timeout},
-              m_platform_client),
+              m_table_client),
           m_control(control_options(), control_hooks()),
           m_operators(
               m_settings.m_operator_token, m_control, m_metrics,
@@ -88,7 +88,7 @@
         m_control_thread.join();
         m_transport->stop();
         m_upstream_client.stop();
-        m_platform_client.stop();
+        m_table_client.stop();
     }
 
     void drain()
@@ -377,18 +377,18 @@
     {
         m_platform.transact(
             action.m_transaction,
-            [this, id = action.m_operation](platform::transaction_reply reply) {
+            [this, id = action.m_operation](table::transaction_reply reply) {
                 post(core::transaction_ended{id, std::move(reply)});
             });
     }
 
     void execute(core::read_table const& action)
     {
-        m_platform.read(
-            action.m_query,
-            [this, id = action.m_operation](platform::read_reply reply) {
-                post(core::table_read_ended{id, std::move(reply)});
-            });
+        m_platform.read(action.m_query,
+                        [this, id = action.m_operation](table::read_reply reply)
+                        {
+                            post(core::table_read_ended{id, std::move(reply)});
+                        });
     }
 
     void execute(core::read_object const& action)
@@ -412,8 +412,7 @@
     void execute(core::list_machines const&)
     {
         m_platform.list_machines(
-            [this](
-                std::optional<std::vector<platform::listed_machine>> machines)
+            [this](std::optional<std::vector<table::listed_machine>> machines)
             { post(core::machines_listed{std::move(machines)}); });
     }
 
@@ -489,7 +488,7 @@
         request.m_connect_timeout = report_timeout;
         request.m_total_timeout = action.m_timeout;
         start_whole(
-            m_platform_client, std::move(request), max_report,
+            m_table_client, std::move(request), max_report,
             [this, id = action.m_order](http::client_response const& response)
             { post(decode_order(id, response)); });
     }
@@ -501,7 +500,7 @@
         request.m_url = "http://" + address + path;
         request.m_connect_timeout = report_timeout;
         request.m_total_timeout = report_timeout;
-        start_whole(m_platform_client, std::move(request), max_report,
+        start_whole(m_table_client, std::move(request), max_report,
                     std::move(on_end));
     }
 
@@ -585,8 +584,8 @@
     std::mt19937_64 m_random{std::random_device{}()};
     telemetry::metrics m_metrics;
     http::client m_upstream_client; ///< requests of callers
-    http::client m_platform_client; ///< platform and reports of engines
-    platform::platform_client m_platform;
+    http::client m_table_client;    ///< platform and reports of engines
+    table::table_client m_platform;
 
     // Used by the control thread only.
     core::control m_control;
--- a/src/lease/lease_keeper.cpp
+++ b/src/lease/lease_keeper.cpp
@@ -37,7 +37,7 @@
     m_live = std::move(live);
 }
 
-void lease_keeper::table_read(std::vector<platform::table_row> const& rows,
+void lease_keeper::table_read(std::vector<table::table_row> const& rows,
                               time_point sent_at, time_point now)
 {
     // A holder that could not reach the table either needs time to renew, so
@@ -46,14 +46,14 @@
         !m_last_read || now - *m_last_read > m_options.m_read_gap;
     m_last_read = now;
     std::map<std::string, observed_lease> found;
-    for (platform::table_row const& row : rows)
+    for (table::table_row const& row : rows)
     {
         found[row.m_row] = parse_row(row);
     }
     std::vector<observed_lease> all;
     for (auto& [name, item] : m_rows)
     {
-        platform::table_row absent;
+        table::table_row absent;
         absent.m_row = name;
         auto const place = found.find(name);
         observed_lease const seen =
@@ -76,7 +76,7 @@
 }
 
 void lease_keeper::transaction_done(std::uint64_t number,
-                                    platform::transaction_reply const& reply,
+                                    table::transaction_reply const& reply,
                                     time_point now)
 {
     auto const found = m_transactions.find(number);
@@ -88,14 +88,14 @@
     m_transactions.erase(found);
     switch (reply.m_status)
     {
-    case platform::transaction_status::committed:
+    case table::transaction_status::committed:
         transaction_committed(sent, reply, now);
         return;
-    case platform::transaction_status::unknown:
+    case table::transaction_status::unknown:
         outcome_unknown(sent, now);
         return;
-    case platform::transaction_status::conflict:
-    case platform::transaction_status::not_applied:
+    case table::transaction_status::conflict:
+    case table::transaction_status::not_applied:
         break;
     }
     for (auto const& [name, sequence] : sent.m_rows)
@@ -106,7 +106,7 @@
             row->second.m_state = row_state::foreign;
         }
     }
-    for (platform::table_row const& row : reply.m_rows)
+    for (table::table_row const& row : reply.m_rows)
     {
         auto const place = m_rows.find(row.m_row);
         if (place != m_rows.end())
@@ -253,11 +253,11 @@
     item.m_quorum_at.reset();
 }
 
-void lease_keeper::transaction_committed(
-    open_transaction const& sent, platform::transaction_reply const& reply,
-    time_point now)
+void lease_keeper::transaction_committed(open_transaction const& sent,
+                                         table::transaction_reply const& reply,
+                                         time_point now)
 {
-    for (platform::table_row const& row : reply.m_rows)
+    for (table::table_row const& row : reply.m_rows)
     {
         auto const place = m_rows.find(row.m_row);
         auto const write = sent.m_rows.find(row.m_row);
--- a/src/lease/lease_row.cpp
+++ b/src/lease/lease_row.cpp
@@ -14,7 +14,7 @@
 
 } // namespace
 
-observed_lease parse_row(platform::table_row const& row)
+observed_lease parse_row(table::table_row const& row)
 {
     observed_lease result;
     result.m_claim.m_row = row.m_row;
--- a/src/lease/lease_schedule.cpp
+++ b/src/lease/lease_schedule.cpp
@@ -155,7 +155,7 @@
         sequence = ++item.m_sequence;
         item.m_writes[sequence] = now;
     }
-    platform::table_transaction& write = transaction.m_transaction;
+    table::table_transaction& write = transaction.m_transaction;
     write.m_conditions.push_back({claim.m_row, item.m_observed.m_version});
     write.m_puts.push_back({claim.m_row, serialise_row(claim, sequence)});
 }
@@ -169,7 +169,7 @@
     }
     transaction.m_number = m_next_number++;
     open_transaction open{now, {}};
-    for (platform::table_put const& put : transaction.m_transaction.m_puts)
+    for (table::table_put const& put : transaction.m_transaction.m_puts)
     {
         lease_row const& item = m_rows.at(put.m_row);
         bool const is_release = item.m_state == row_state::releasing;
--- a/src/request/claim_calls.cpp
+++ b/src/request/claim_calls.cpp
@@ -9,7 +9,7 @@
 namespace
 {
 
-using platform::table_row;
+using table::table_row;
 
 table_row const* find_row(std::vector<table_row> const& rows,
                           std::string const& name)
@@ -100,7 +100,7 @@
 }
 
 void claim_flow::impl::on_transaction(std::uint64_t call,
-                                      platform::transaction_reply const& reply,
+                                      table::transaction_reply const& reply,
                                       time_point now)
 {
     for (write_result const& result : m_writer.take(call, reply, m_actions))
@@ -121,8 +121,7 @@
 }
 
 void claim_flow::impl::on_read(std::uint64_t call,
-                               platform::read_reply const& reply,
-                               time_point now)
+                               table::read_reply const& reply, time_point now)
 {
     auto parts = m_calls.extract(call);
     if (!parts)
@@ -227,17 +226,15 @@
     return m_impl->take_actions(now);
 }
 
-claim_flow::actions
-claim_flow::on_transaction(std::uint64_t call,
-                           platform::transaction_reply const& reply,
-                           time_point now)
+claim_flow::actions claim_flow::on_transaction(
+    std::uint64_t call, table::transaction_reply const& reply, time_point now)
 {
     m_impl->on_transaction(call, reply, now);
     return m_impl->take_actions(now);
 }
 
 claim_flow::actions claim_flow::on_read(std::uint64_t call,
-                                        platform::read_reply const& reply,
+                                        table::read_reply const& reply,
                                         time_point now)
 {
     m_impl->on_read(call, reply, now);
--- a/src/request/claim_flow.cpp
+++ b/src/request/claim_flow.cpp
@@ -10,8 +10,8 @@
 namespace
 {
 
-using platform::table_row;
-using platform::transaction_status;
+using table::table_row;
+using table::transaction_status;
 
 constexpr std::chrono::seconds retry_after{1};
 constexpr std::chrono::milliseconds first_poll{200};
--- a/src/request/claim_flow_impl.hpp
+++ b/src/request/claim_flow_impl.hpp
@@ -23,9 +23,8 @@
 
     void begin(claim_request const& request, time_point now);
     void on_transaction(std::uint64_t call,
-                        platform::transaction_reply const& reply,
-                        time_point now);
-    void on_read(std::uint64_t call, platform::read_reply const& reply,
+                        table::transaction_reply const& reply, time_point now);
+    void on_read(std::uint64_t call, table::read_reply const& reply,
                  time_point now);
     void on_object_read(std::uint64_t call,
                         std::optional<std::string> const& content,
@@ -114,14 +113,14 @@
     void take_claim_result(write_result const& result, time_point now);
     void take_owned(entry& item, std::int64_t version, time_point now);
     void permit_front(entry& item, time_point now);
-    void take_other_row(entry& item, platform::table_row const& row,
+    void take_other_row(entry& item, table::table_row const& row,
                         time_point now);
     void take_foreign_claim(entry& item, claim_row const& found,
                             time_point now);
-    void take_read_back(entry& item, platform::table_row const* row, bool ok,
+    void take_read_back(entry& item, table::table_row const* row, bool ok,
                         time_point now);
     void wait_for_other(entry& item, time_point now);
-    void take_poll(entry& item, platform::table_row const* row, bool ok,
+    void take_poll(entry& item, table::table_row const* row, bool ok,
                    time_point now);
     void expire_waiters(entry& item, time_point now);
 
@@ -154,7 +153,7 @@
     void read_later(call_kind kind, std::string const& row,
                     std::string const& token);
     void run_reads();
-    void take_read_part(call_part const& part, platform::table_row const* row,
+    void take_read_part(call_part const& part, table::table_row const* row,
                         bool ok, time_point now);
 
     claim_options m_options;
--- a/src/request/claim_outcome.cpp
+++ b/src/request/claim_outcome.cpp
@@ -10,7 +10,7 @@
 namespace
 {
 
-using platform::transaction_status;
+using table::transaction_status;
 
 constexpr std::chrono::seconds retry_after{1};
 constexpr std::chrono::milliseconds first_store_delay{100};
--- a/src/request/release_list.cpp
+++ b/src/request/release_list.cpp
@@ -10,7 +10,7 @@
 namespace
 {
 
-using platform::transaction_status;
+using table::transaction_status;
 
 constexpr std::chrono::milliseconds first_delay{200};
 constexpr std::chrono::milliseconds longest_delay{30000};
--- a/src/request/release_list.hpp
+++ b/src/request/release_list.hpp
@@ -2,7 +2,7 @@
 #pragma once
 
 #include <daisylead/base/unit_type.hpp>
-#include <daisylead/platform/table_type.hpp>
+#include <daisylead/table/table_type.hpp>
 
 #include <optional>
 #include <string>
@@ -51,8 +51,8 @@
     std::vector<release_item> take_due(time_point now);
 
     /** Takes the outcome of a delete. */
-    void on_deleted(std::string const& token,
-                    platform::transaction_status status, time_point now);
+    void on_deleted(std::string const& token, table::transaction_status status,
+                    time_point now);
 
     /** Takes the outcome of a read.
      *  @param ok whether an answer came
--- a/src/request/row_writer.cpp
+++ b/src/request/row_writer.cpp
@@ -10,16 +10,15 @@
 namespace
 {
 
-using platform::table_row;
-using platform::transaction_status;
+using table::table_row;
+using table::transaction_status;
 
 /** Bounds the rows that run again when one of them conflicts. */
 constexpr std::size_t max_writes = 64;
 
-platform::table_transaction
-make_transaction(std::vector<row_write> const& writes)
+table::table_transaction make_transaction(std::vector<row_write> const& writes)
 {
-    platform::table_transaction transaction;
+    table::table_transaction transaction;
     for (row_write const& write : writes)
     {
         transaction.m_conditions.push_back({write.m_row, write.m_version});
@@ -103,7 +102,7 @@
 }
 
 std::vector<write_result>
-row_writer::take(std::uint64_t call, platform::transaction_reply const& reply,
+row_writer::take(std::uint64_t call, table::transaction_reply const& reply,
                  std::vector<claim_action>& output)
 {
     auto running = m_running.extract(call);
--- a/src/request/row_writer.hpp
+++ b/src/request/row_writer.hpp
@@ -32,9 +32,9 @@
 /** What became of a write. */
 struct write_result
 {
-    row_write m_write;                     ///< the write
-    platform::transaction_status m_status; ///< its own status
-    platform::table_row m_row{};           ///< new version, or the other row
+    row_write m_write;                  ///< the write
+    table::transaction_status m_status; ///< its own status
+    table::table_row m_row{};           ///< new version, or the other row
 };
 
 /** Collects writes for a few milliseconds. The rows whose condition fails are
@@ -55,7 +55,7 @@
     /** Takes an answer.
      *  @return the writes whose outcome is now settled */
     std::vector<write_result> take(std::uint64_t call,
-                                   platform::transaction_reply const& reply,
+                                   table::transaction_reply const& reply,
                                    std::vector<claim_action>& output);
 
     std::optional<time_point> next_timer() const
@@ -68,7 +68,7 @@
     void run_collected(std::vector<claim_action>& output);
     std::vector<write_result>
     take_conflict(std::vector<row_write> writes,
-                  std::vector<platform::table_row> const& rows,
+                  std::vector<table::table_row> const& rows,
                   std::vector<claim_action>& output);
 
     duration m_batch_delay;
--- a/src/platform/platform_client.cpp
+++ b/src/table/table_client.cpp
@@ -1,11 +1,11 @@
 /** @file Client of the platform's services. */
-#include <daisylead/platform/platform_client_base.hpp>
+#include <daisylead/table/table_client_base.hpp>
 
 #include <nlohmann/json.hpp>
 
 #include <utility>
 
-namespace daisylead::platform
+namespace daisylead::table
 {
 
 namespace
@@ -156,13 +156,13 @@
 
 } // namespace
 
-platform_client::platform_client(platform_options options, http::client& client)
+table_client::table_client(platform_options options, http::client& client)
     : m_options(std::move(options)), m_client(client)
 {
 }
 
-http::client_request
-platform_client::make_request(std::string method, std::string const& path) const
+http::client_request table_client::make_request(std::string method,
+                                                std::string const& path) const
 {
     http::client_request request;
     request.m_method = std::move(method);
@@ -172,8 +172,8 @@
     return request;
 }
 
-void platform_client::transact(table_transaction const& transaction,
-                               std::function<void(transaction_reply)> on_reply)
+void table_client::transact(table_transaction const& transaction,
+                            std::function<void(transaction_reply)> on_reply)
 {
     http::client_request request = make_request("POST", "/table/transact");
     // libcurl resends a request when a reused connection dies early; a
@@ -187,8 +187,8 @@
         { on_reply(decode_transaction(response)); });
 }
 
-void platform_client::read(table_read const& query,
-                           std::function<void(read_reply)> on_reply)
+void table_client::read(table_read const& query,
+                        std::function<void(read_reply)> on_reply)
 {
     http::client_request request = make_request("POST", "/table/read");
     json const body = {{"rows", query.m_rows}, {"prefixes", query.m_prefixes}};
@@ -199,7 +199,7 @@
         { on_reply(decode_read(response)); });
 }
 
-void platform_client::get_object(
+void table_client::get_object(
     std::string const& name,
     std::function<void(std::optional<std::string>)> on_reply)
 {
@@ -214,8 +214,8 @@
                 });
 }
 
-void platform_client::put_object(std::string const& name, std::string content,
-                                 std::function<void(bool)> on_reply)
+void table_client::put_object(std::string const& name, std::string content,
+                              std::function<void(bool)> on_reply)
 {
     http::client_request request = make_request("PUT", "/objects/" + name);
     request.m_body = std::make_shared<std::string const>(std::move(content));
@@ -228,7 +228,7 @@
         });
 }
 
-void platform_client::list_machines(
+void table_client::list_machines(
     std::function<void(std::optional<std::vector<listed_machine>>)> on_reply)
 {
     start_whole(
@@ -237,4 +237,4 @@
         { on_reply(decode_machines(response)); });
 }
 
-} // namespace daisylead::platform
+} // namespace daisylead::table
--- a/tests/core/config_publisher_test.cpp
+++ b/tests/core/config_publisher_test.cpp
@@ -15,7 +15,7 @@
 constexpr operator_token call = 7;
 time_point const start{};
 
-platform::read_reply head_reply(config_head const& head)
+table::read_reply head_reply(config_head const& head)
 {
     return {true, {{config_head_row, head.m_row_version, serialise(head)}}};
 }
@@ -45,7 +45,7 @@
     /** @return the head row after the write took effect. */
     config_head written() const
     {
-        platform::read_reply const reply{
+        table::read_reply const reply{
             true, {{config_head_row, 105, m_write.m_puts.at(0).m_value}}};
         return parse_config_head(reply);
     }
@@ -54,7 +54,7 @@
                                  {
                                      return std::string("token-1");
                                  }};
-    platform::table_transaction m_write;
+    table::table_transaction m_write;
 };
 
 template <class Type>
@@ -83,7 +83,7 @@
     // Without it the operator is told of a conflict with the own change.
     publishing item;
     auto const after_loss = item.m_publisher.on_commit(
-        call, {platform::transaction_status::unknown, {}}, start);
+        call, {table::transaction_status::unknown, {}}, start);
     REQUIRE(has<publisher_read_head>(after_loss));
     auto const actions =
         item.m_publisher.on_head(call, head_reply(item.written()), start);
@@ -93,8 +93,8 @@
 TEST_CASE("publisher: the token is found after a later change by another")
 {
     publishing item;
-    item.m_publisher.on_commit(
-        call, {platform::transaction_status::unknown, {}}, start);
+    item.m_publisher.on_commit(call, {table::transaction_status::unknown, {}},
+                               start);
     config_head later = item.written();
     later.m_version = config_version(6);
     later.m_token = "other";
@@ -107,8 +107,8 @@
 TEST_CASE("publisher: a change that lost the race names the winner")
 {
     publishing item;
-    item.m_publisher.on_commit(
-        call, {platform::transaction_status::conflict, {}}, start);
+    item.m_publisher.on_commit(call, {table::transaction_status::conflict, {}},
+                               start);
     auto const actions = item.m_publisher.on_head(
         call, head_reply(make_head(5, "other")), start);
     REQUIRE(has<publish_answer>(actions));
@@ -121,8 +121,8 @@
           "as a conflict")
 {
     publishing item;
-    item.m_publisher.on_commit(
-        call, {platform::transaction_status::unknown, {}}, start);
+    item.m_publisher.on_commit(call, {table::transaction_status::unknown, {}},
+                               start);
     CHECK(item.m_publisher.on_head(call, head_reply(make_head(4, "old")), start)
               .empty());
     CHECK(has<publisher_committed>(item.m_publisher.on_head(
@@ -133,8 +133,8 @@
           "accepted")
 {
     publishing item;
-    item.m_publisher.on_commit(
-        call, {platform::transaction_status::committed, {}}, start);
+    item.m_publisher.on_commit(call, {table::transaction_status::committed, {}},
+                               start);
     CHECK(item.m_publisher.on_timer(start + 14s, {}).empty());
     auto const actions = item.m_publisher.on_timer(start + 16s, {"entry-2"});
     REQUIRE(has<publish_answer>(actions));
--- a/tests/lease/lease_property_test.cpp
+++ b/tests/lease/lease_property_test.cpp
@@ -232,7 +232,7 @@
 
     void read(node& item, time_point sent_at)
     {
-        std::vector<platform::table_row> rows;
+        std::vector<table::table_row> rows;
         for (auto const& [name, row] : m_table)
         {
             rows.push_back(row);
@@ -250,9 +250,9 @@
         m_mail.emplace(m_now + std::chrono::milliseconds(delay()),
                        [=, this, &item]
                        {
-                           platform::transaction_reply reply;
+                           table::transaction_reply reply;
                            reply.m_status =
-                               platform::transaction_status::not_applied;
+                               table::transaction_status::not_applied;
                            if (linked)
                            {
                                reply = transact(action.m_transaction);
@@ -272,15 +272,15 @@
                        });
     }
 
-    platform::transaction_reply
-    transact(platform::table_transaction const& transaction)
+    table::transaction_reply
+    transact(table::table_transaction const& transaction)
     {
-        platform::transaction_reply reply;
-        reply.m_status = platform::transaction_status::conflict;
-        for (platform::table_condition const& each : transaction.m_conditions)
+        table::transaction_reply reply;
+        reply.m_status = table::transaction_status::conflict;
+        for (table::table_condition const& each : transaction.m_conditions)
         {
             auto const found = m_table.find(each.m_row);
-            platform::table_row row{each.m_row, 0, ""};
+            table::table_row row{each.m_row, 0, ""};
             row = found == m_table.end() ? row : found->second;
             if (row.m_version != each.m_version)
             {
@@ -291,8 +291,8 @@
         {
             return reply;
         }
-        reply.m_status = platform::transaction_status::committed;
-        for (platform::table_put const& put : transaction.m_puts)
+        reply.m_status = table::transaction_status::committed;
+        for (table::table_put const& put : transaction.m_puts)
         {
             m_table[put.m_row] = {put.m_row, ++m_version, put.m_value};
             reply.m_rows.push_back({put.m_row, m_version, ""});
@@ -350,7 +350,7 @@
     std::mt19937 m_random;
     std::vector<node> m_nodes;
     std::multimap<real_time, std::function<void()>> m_mail;
-    std::map<std::string, platform::table_row> m_table;
+    std::map<std::string, table::table_row> m_table;
     std::int64_t m_version = 0;
     int m_next_token = 1;
     real_time m_now{};
--- a/tests/lease/lease_test.cpp
+++ b/tests/lease/lease_test.cpp
@@ -6,8 +6,8 @@
 using namespace daisylead;
 using namespace daisylead::lease;
 using namespace std::chrono_literals;
-using platform::transaction_reply;
-using platform::transaction_status;
+using table::transaction_reply;
+using table::transaction_status;
 
 namespace
 {
@@ -37,7 +37,7 @@
 
     void read(time_point now)
     {
-        std::vector<platform::table_row> rows;
+        std::vector<table::table_row> rows;
         if (m_version > 0)
         {
             rows.push_back({row, m_version, m_value});
--- a/tests/membership/membership_test.cpp
+++ b/tests/membership/membership_test.cpp
@@ -29,12 +29,12 @@
     return result;
 }
 
-std::vector<platform::listed_machine> list_of(int count)
+std::vector<table::listed_machine> list_of(int count)
 {
-    std::vector<platform::listed_machine> result;
+    std::vector<table::listed_machine> result;
     for (int index = 0; index < count; ++index)
     {
-        platform::listed_machine machine;
+        table::listed_machine machine;
         machine.m_id = name(index).value();
         machine.m_peer = "127.0.0.1:" + std::to_string(7000 + index);
         result.push_back(machine);
--- a/tests/request/claim_fleet.hpp
+++ b/tests/request/claim_fleet.hpp
@@ -12,9 +12,9 @@
 namespace daisylead::request::testing
 {
 
-using platform::read_reply;
-using platform::transaction_reply;
-using platform::transaction_status;
+using table::read_reply;
+using table::transaction_reply;
+using table::transaction_status;
 
 /** Which faults a run injects. */
 struct fleet_faults
--- a/tests/request/claim_limit_test.cpp
+++ b/tests/request/claim_limit_test.cpp
@@ -7,7 +7,7 @@
 
 using namespace daisylead;
 using namespace daisylead::request;
-using platform::transaction_status;
+using table::transaction_status;
 
 namespace
 {
@@ -210,7 +210,7 @@
     auto const actions = flow.on_timer(start + std::chrono::milliseconds(3));
     auto const* run = find_action<claim_transact>(actions);
     REQUIRE(run != nullptr);
-    for (platform::table_put const& put : run->m_transaction.m_puts)
+    for (table::table_put const& put : run->m_transaction.m_puts)
     {
         CHECK(put.m_row.size() < 600);
     }
--- a/tests/request/claim_session_test.cpp
+++ b/tests/request/claim_session_test.cpp
@@ -20,11 +20,11 @@
 std::string print(claim_transact const& item)
 {
     std::string text = "transact " + std::to_string(item.m_call);
-    for (platform::table_condition const& row : item.m_transaction.m_conditions)
+    for (table::table_condition const& row : item.m_transaction.m_conditions)
     {
         text += " if " + row.m_row + "=" + std::to_string(row.m_version);
     }
-    for (platform::table_put const& row : item.m_transaction.m_puts)
+    for (table::table_put const& row : item.m_transaction.m_puts)
     {
         text += " put " + row.m_row + " " + row.m_value;
     }
@@ -174,8 +174,8 @@
         claim_action const& made = m_calls.at({m_node, call});
         if (event == "transaction")
         {
-            platform::transaction_reply reply{
-                platform::transaction_status::not_applied, {}};
+            table::transaction_reply reply{
+                table::transaction_status::not_applied, {}};
             if (fate != "refused")
             {
                 reply =
@@ -183,15 +183,15 @@
             }
             if (fate == "lost")
             {
-                reply = {platform::transaction_status::unknown, {}};
+                reply = {table::transaction_status::unknown, {}};
             }
             return take(flow.on_transaction(call, reply, m_now));
         }
         if (event == "read")
         {
-            platform::read_reply const reply =
+            table::read_reply const reply =
                 fate == "fails"
-                    ? platform::read_reply{}
+                    ? table::read_reply{}
                     : m_table.read(std::get<claim_read>(made).m_query);
             return take(flow.on_read(call, reply, m_now));
         }
--- a/tests/request/fake_table.hpp
+++ b/tests/request/fake_table.hpp
@@ -1,7 +1,7 @@
 /** @file Table service in memory. */
 #pragma once
 
-#include <daisylead/platform/table_type.hpp>
+#include <daisylead/table/table_type.hpp>
 
 #include <map>
 #include <string>
@@ -13,16 +13,16 @@
 class fake_table
 {
 public:
-    platform::table_row current(std::string const& row) const
+    table::table_row current(std::string const& row) const
     {
         auto const found = m_rows.find(row);
-        return found == m_rows.end() ? platform::table_row{row, 0, {}}
+        return found == m_rows.end() ? table::table_row{row, 0, {}}
                                      : found->second;
     }
 
-    platform::read_reply read(platform::table_read const& query) const
+    table::read_reply read(table::table_read const& query) const
     {
-        platform::read_reply reply{true, {}};
+        table::read_reply reply{true, {}};
         for (std::string const& row : query.m_rows)
         {
             if (m_rows.contains(row))
@@ -33,10 +33,10 @@
         return reply;
     }
 
-    platform::transaction_reply run(platform::table_transaction const& run)
+    table::transaction_reply run(table::table_transaction const& run)
     {
-        platform::transaction_reply reply;
-        for (platform::table_condition const& item : run.m_conditions)
+        table::transaction_reply reply;
+        for (table::table_condition const& item : run.m_conditions)
         {
             if (current(item.m_row).m_version != item.m_version)
             {
@@ -45,11 +45,11 @@
         }
         if (!reply.m_rows.empty())
         {
-            reply.m_status = platform::transaction_status::conflict;
+            reply.m_status = table::transaction_status::conflict;
             return reply;
         }
-        reply.m_status = platform::transaction_status::committed;
-        for (platform::table_put const& item : run.m_puts)
+        reply.m_status = table::transaction_status::committed;
+        for (table::table_put const& item : run.m_puts)
         {
             m_rows[item.m_row] = {item.m_row, ++m_version, item.m_value};
             reply.m_rows.push_back({item.m_row, m_version, {}});
@@ -62,7 +62,7 @@
     }
 
 private:
-    std::map<std::string, platform::table_row> m_rows;
+    std::map<std::string, table::table_row> m_rows;
     std::int64_t m_version = 0;
 };
 
