Fix: [Entry] crash of the order giver, engines that stay marked as loading

Before that every answer of the store broke off, because Boost 1.74 compares a missing body limit as less than every length.

Change: named objects in awaited calls; the mark of a loading engine lapses after 1.5 s unless its holder repeats it; a largest limit in place of none.

--- a/include/daisylead/serving/upstream_board_base.hpp
+++ b/include/daisylead/serving/upstream_board_base.hpp
@@ -47,6 +47,9 @@
     duration m_old_weights_limit = std::chrono::milliseconds(7400);
     /** Requests at one upstream over all instances, per slot. */
     double m_max_per_slot = 2.0;
+    /** An engine counts as loading for this long after the last news that it
+     *  does; the holder of the order lease repeats the news. */
+    duration m_switching_lapse = std::chrono::milliseconds(1500);
     /** Prompt prefixes remembered for each engine. */
     std::size_t m_max_prefixes = 1024;
 };
@@ -137,7 +140,7 @@
     void note_refused(upstream_id const& id, duration pause, time_point now);
 
     /** It serves this version. Older news of the same start is ignored. */
-    void note_weights(weights_news const& news);
+    void note_weights(weights_news const& news, time_point now);
 
     /** Takes the requests in flight of a peer; replaces the last ones. */
     void note_peer(instance_id const& peer, in_flight_counts counts);
@@ -161,7 +164,7 @@
     std::int64_t in_flight(upstream_id const& id) const;
 
     /** @return whether the engine takes no new work because it loads. */
-    bool is_switching(upstream_id const& id) const;
+    bool is_switching(upstream_id const& id, time_point now) const;
 
 private:
     struct entry
@@ -173,7 +176,7 @@
         std::int64_t m_peers = 0; ///< requests of peers
         int m_failures = 0;
         time_point m_paused_until;
-        bool m_switching = false;
+        time_point m_switching_until; ///< takes no new work until then
         /** Prefixes in order of last use, newest first. */
         std::list<std::uint64_t> m_prefixes;
         std::unordered_map<std::uint64_t, std::list<std::uint64_t>::iterator>
--- a/src/entry/fleet_exchange.cpp
+++ b/src/entry/fleet_exchange.cpp
@@ -240,7 +240,7 @@
         m_state.m_weights_heard = now;
         for (serving::weights_news const& item : news.m_weights)
         {
-            m_state.m_board.note_weights(item);
+            m_state.m_board.note_weights(item, now);
         }
         m_state.wake();
     }
--- a/src/entry/fleet_state.cpp
+++ b/src/entry/fleet_state.cpp
@@ -326,7 +326,7 @@
                     {{"id", record.m_id.value()},
                      {"service", service.m_id.value()},
                      {"in_flight", m_board.in_flight(record.m_id)},
-                     {"switching", m_board.is_switching(record.m_id)}});
+                     {"switching", m_board.is_switching(record.m_id, now)}});
             }
         }
     }
--- a/src/entry/http_connection.cpp
+++ b/src/entry/http_connection.cpp
@@ -130,7 +130,8 @@
     {
         m_parser.emplace();
         m_parser->header_limit(max_header);
-        m_parser->body_limit(boost::none);
+        // Boost 1.74 compares a missing limit as less than every length.
+        m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
         m_parser->skip(m_request->method() == http::verb::head);
         beast::error_code failure;
         co_await http::async_read_header(
--- a/src/entry/order_giver.cpp
+++ b/src/entry/order_giver.cpp
@@ -240,6 +240,15 @@
         upstream_id const id = engine.m_id;
         records.emplace(id, std::move(engine));
     }
+    if (planner.is_busy())
+    {
+        // Marks of loading engines lapse unless they are repeated.
+        m_state.m_weights_news_until = now + repeat_news;
+        for (serving::weights_news const& item : m_state.m_weights_news)
+        {
+            m_state.m_board.note_weights(item, now);
+        }
+    }
     bool changed = false;
     for (serving::rollout_action const& action : planner.plan(list, now))
     {
@@ -270,7 +279,7 @@
 
 void order_giver::publish(serving::weights_news const& news)
 {
-    m_state.m_board.note_weights(news);
+    m_state.m_board.note_weights(news, boot_time());
     auto const token = m_lease.token(boot_time());
     if (!token)
     {
@@ -321,9 +330,12 @@
                 outcome = "lease_lost";
                 break;
             }
-            order_outcome const sent = co_await m_state.m_calls.send_order(
-                {engine.m_id, engine.m_address, model, version, *token,
-                 report->m_orders});
+            // A named object: g++ 12 destroys a braced temporary of an awaited
+            // call twice.
+            load_order const order{engine.m_id, engine.m_address, model,
+                                   version,     *token, report->m_orders};
+            order_outcome const sent =
+                co_await m_state.m_calls.send_order(order);
             m_state.m_metrics.count(
                 "daisylead_orders_total",
                 {{"outcome", sent == order_outcome::accepted  ? "accepted"
--- a/src/entry/request_attempt.cpp
+++ b/src/entry/request_attempt.cpp
@@ -197,9 +197,11 @@
         m_state.m_board.note_reachable(id);
         if (facts.m_weights > 0)
         {
+            time_point const now = boot_time();
             m_state.m_board.note_weights(
                 {id, place.m_upstream.m_started, m_description.m_model,
-                 facts.m_weights, m_state.m_board.is_switching(id)});
+                 facts.m_weights, m_state.m_board.is_switching(id, now)},
+                now);
         }
         int const status = m_upstream->status();
         bool const success = status >= 200 && status < 300;
--- a/src/serving/upstream_board.cpp
+++ b/src/serving/upstream_board.cpp
@@ -186,7 +186,7 @@
         double const limit = m_options.m_max_per_slot *
                              static_cast<double>(std::max<std::int64_t>(
                                  1, item.m_record.m_slots));
-        if (item.m_switching || item.m_paused_until > now ||
+        if (item.m_switching_until > now || item.m_paused_until > now ||
             static_cast<double>(item.m_waiting + item.m_running +
                                 item.m_peers) >= limit)
         {
@@ -327,7 +327,7 @@
     }
 }
 
-void upstream_board::note_weights(weights_news const& news)
+void upstream_board::note_weights(weights_news const& news, time_point now)
 {
     auto const found = m_entries.find(news.m_upstream);
     if (found == m_entries.end() ||
@@ -345,7 +345,8 @@
         item.m_prefixes.clear();
         item.m_prefix_index.clear();
     }
-    item.m_switching = news.m_switching;
+    item.m_switching_until =
+        news.m_switching ? now + m_options.m_switching_lapse : now;
 }
 
 void upstream_board::note_peer(instance_id const& peer, in_flight_counts counts)
@@ -449,10 +450,10 @@
                      found->second.m_peers;
 }
 
-bool upstream_board::is_switching(upstream_id const& id) const
+bool upstream_board::is_switching(upstream_id const& id, time_point now) const
 {
     auto const found = m_entries.find(id);
-    return found != m_entries.end() && found->second.m_switching;
+    return found != m_entries.end() && found->second.m_switching_until > now;
 }
 
 } // namespace daisylead::serving
