Fix: [Entry] engines on old weights past a deadline, callers taken too late in a shutdown

Change: each named version has its own deadline, counted from the last proof before it; the planner takes the oldest weights first; 2.4 s after SIGTERM idle connections are closed and later requests are refused.

--- a/include/daisylead/serving/upstream_board_base.hpp
+++ b/include/daisylead/serving/upstream_board_base.hpp
@@ -44,7 +44,7 @@
     /** Cost of older weights from that age on. */
     duration m_old_weights_cost = std::chrono::milliseconds(400);
     /** From this age of a newer version on, older weights are not used. */
-    duration m_old_weights_limit = std::chrono::milliseconds(7400);
+    duration m_old_weights_limit = std::chrono::milliseconds(7000);
     /** Requests at one upstream over all instances, per slot. */
     double m_max_per_slot = 2.0;
     /** An engine counts as loading for this long after the last news that it
@@ -113,7 +113,7 @@
     take_list(std::vector<upstream_record> const& list, time_point read_at);
 
     /** Newest version of a model's weights.
-     *  @param named_at when this instance learned of it */
+     *  @param named_at when it was named, or earlier */
     void set_newest(model_id const& model, std::int64_t version,
                     time_point named_at);
 
@@ -183,22 +183,21 @@
             m_prefix_index;
     };
 
-    struct newest_weights
-    {
-        std::int64_t m_version = 0;
-        time_point m_named_at;
-    };
+    /** Versions of a model's weights with the time at which each was named,
+     *  oldest first. An engine is judged by the first one that it lacks. */
+    using named_versions = std::vector<std::pair<std::int64_t, time_point>>;
 
     void touch_prefix(entry& item, std::uint64_t prefix) const;
     duration cost(entry const& item, placement_question const& question,
                   std::size_t rank, time_point now) const;
-    bool is_old(entry const& item, model_id const& model) const;
+    std::optional<duration> old_for(entry const& item, model_id const& model,
+                                    time_point now) const;
 
     board_options m_options;
     std::function<std::uint64_t()> m_random;
     std::unordered_map<upstream_id, entry> m_entries;
     std::unordered_map<service_id, std::vector<upstream_id>> m_by_service;
-    std::unordered_map<model_id, newest_weights> m_newest;
+    std::unordered_map<model_id, named_versions> m_named;
     std::unordered_map<instance_id, in_flight_counts> m_peers;
     std::optional<time_point> m_read_at;
     std::optional<time_point> m_grace_until;
--- a/src/entry/caller_session.cpp
+++ b/src/entry/caller_session.cpp
@@ -125,7 +125,6 @@
 
 awaitable<void> caller_server::serve(std::shared_ptr<caller_connection> caller)
 {
-    ++m_connections;
     beast::tcp_stream& stream = caller->stream();
     beast::flat_buffer& buffer = caller->buffer();
     bool open = true;
@@ -138,9 +137,11 @@
         if (buffer.size() == 0)
         {
             stream.expires_after(limits.m_idle_timeout);
+            m_idle.insert(caller);
             std::size_t const size = co_await stream.async_read_some(
                 buffer.prepare(4096),
                 asio::redirect_error(asio::use_awaitable, failure));
+            m_idle.erase(caller);
             buffer.commit(size);
             if (failure)
             {
@@ -198,13 +199,26 @@
             }
             break;
         }
+        if (m_closing)
+        {
+            co_await reject(caller, 503, "this instance shuts down");
+            break;
+        }
         request_runner runner(m_state, m_pool, caller, parser.release());
         open = co_await runner.run();
     }
-    --m_connections;
     co_await caller->finish();
 }
 
+void caller_server::close_idle()
+{
+    m_closing = true;
+    for (std::shared_ptr<caller_connection> const& caller : m_idle)
+    {
+        caller->stream().cancel();
+    }
+}
+
 awaitable<void> caller_server::reject(std::shared_ptr<caller_connection> caller,
                                       int status, std::string text)
 {
@@ -217,6 +231,11 @@
     answer.m_status = status;
     answer.m_fields.set(http::field::content_type, "text/plain");
     answer.m_body = std::move(text);
+    if (status == 503)
+    {
+        // Other instances serve at once.
+        answer.m_fields.set(http::field::retry_after, "0.05");
+    }
     co_await caller->write(std::move(answer), true, false);
 }
 
--- a/src/entry/caller_session.hpp
+++ b/src/entry/caller_session.hpp
@@ -19,11 +19,9 @@
     /** Starts to accept. */
     void start();
 
-    /** @return open connections. */
-    std::size_t connections() const
-    {
-        return m_connections;
-    }
+    /** Closes the connections on which no request is being read or answered,
+     *  and refuses what comes from now on. */
+    void close_idle();
 
 private:
     awaitable<void> accept_loop();
@@ -35,7 +33,8 @@
     asio::ip::tcp::acceptor m_acceptor;
     fleet_state& m_state;
     connection_pool& m_pool;
-    std::size_t m_connections = 0;
+    std::set<std::shared_ptr<caller_connection>> m_idle;
+    bool m_closing = false;
 };
 
 /** Answers GET requests with a text, for readiness, metrics and dumps. */
--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -28,8 +28,12 @@
  *  little more. */
 constexpr duration least_drain = 3s;
 
+/** After this, no caller is sent here any more; what still comes would not have
+ *  the time to finish. */
+constexpr duration close_idle_after = 2400ms;
+
 /** Part of the grace time that is kept for ending the process. */
-constexpr duration grace_margin = 500ms;
+constexpr duration grace_margin = 400ms;
 
 /** Step in which the end of the drain is looked for. */
 constexpr std::chrono::milliseconds drain_step = 100ms;
@@ -156,10 +160,16 @@
     awaitable<void> drain()
     {
         time_point const began = boot_time();
+        bool closed = false;
         for (;;)
         {
             duration const since = boot_time() - began;
             bool const idle = m_state.m_active_requests == 0;
+            if (since > close_idle_after && !closed)
+            {
+                closed = true;
+                m_callers.close_idle();
+            }
             if ((since > least_drain && idle) ||
                 since > m_settings.m_grace - grace_margin)
             {
--- a/src/entry/fleet_state.cpp
+++ b/src/entry/fleet_state.cpp
@@ -29,6 +29,9 @@
  *  sockets for that long after the last check. */
 constexpr duration validity_margin = 600ms;
 
+/** Age of a change that a process finds when it starts. */
+constexpr duration assumed_age = 3s;
+
 /** Quarantine of a request that crashed upstreams. */
 constexpr duration quarantine_period = 30s;
 
@@ -121,9 +124,14 @@
             {{"version", catalog->m_version.value()}, {"source", source}});
         return;
     }
+    // What is new was named after the last proof of the old content. A process
+    // that has just started can't know; it assumes a part of the time limits.
+    time_point const now = boot_time();
+    auto const old_age = m_rules_freshness.age(now);
+    time_point const named_at = now - old_age.value_or(assumed_age);
     m_rules_freshness.note_read(document.m_revision, read_at);
     m_rules = std::move(document);
-    apply_catalog(std::move(*catalog), boot_time());
+    apply_catalog(std::move(*catalog), named_at);
     telemetry::log(severity::info, "configuration_in_force",
                    {{"version", m_catalog->content().m_version.value()},
                     {"revision", m_rules.m_revision},
@@ -131,11 +139,12 @@
                     {"read_age_ms", milliseconds_of(boot_time() - read_at)}});
 }
 
-void fleet_state::apply_catalog(serving::catalog catalog, time_point now)
+void fleet_state::apply_catalog(serving::catalog catalog, time_point named_at)
 {
+    time_point const now = boot_time();
     for (serving::weights_target const& target : catalog.m_weights)
     {
-        m_board.set_newest(target.m_model, target.m_version, now);
+        m_board.set_newest(target.m_model, target.m_version, named_at);
     }
     for (serving::organisation const& owner : catalog.m_organisations)
     {
--- a/src/entry/fleet_state.hpp
+++ b/src/entry/fleet_state.hpp
@@ -121,7 +121,7 @@
     std::uint64_t m_unreadable_revision = 0; ///< logged last
     std::vector<serving::upstream_record> m_listed; ///< decoded m_upstreams
     request::recent_map<std::uint64_t, time_point> m_saved_prefixes;
-    void apply_catalog(serving::catalog catalog, time_point now);
+    void apply_catalog(serving::catalog catalog, time_point named_at);
 };
 
 } // namespace daisylead::entry
--- a/src/serving/rollout_planner.cpp
+++ b/src/serving/rollout_planner.cpp
@@ -107,9 +107,13 @@
             waiting.push_back(&item);
         }
     }
+    // Each version has a deadline of its own, so the oldest weights go first.
     std::sort(waiting.begin(), waiting.end(),
               [](rollout_engine const* a, rollout_engine const* b)
-              { return a->m_in_flight < b->m_in_flight; });
+              {
+                  return std::pair(a->m_version, a->m_in_flight) <
+                         std::pair(b->m_version, b->m_in_flight);
+              });
     for (rollout_engine const* item : waiting)
     {
         bool const starts = item->m_in_flight == 0 && loading < most_loading;
--- a/src/serving/upstream_board.cpp
+++ b/src/serving/upstream_board.cpp
@@ -12,6 +12,10 @@
 namespace
 {
 
+/** Named versions of one model that are remembered; more than are named within
+ *  the time in which old weights may be used. */
+constexpr std::size_t max_named_versions = 16;
+
 std::uint64_t rendezvous_weight(upstream_id const& id, std::uint64_t prefix)
 {
     return XXH64(id.value().data(), id.value().size(), prefix);
@@ -108,20 +112,35 @@
 void upstream_board::set_newest(model_id const& model, std::int64_t version,
                                 time_point named_at)
 {
-    newest_weights& newest = m_newest[model];
-    if (version > newest.m_version)
+    named_versions& named = m_named[model];
+    if (named.empty() || version > named.back().first)
+    {
+        named.emplace_back(version, named_at);
+    }
+    if (named.size() > max_named_versions)
     {
-        newest = {version, named_at};
+        named.erase(named.begin());
     }
 }
 
-bool upstream_board::is_old(entry const& item, model_id const& model) const
+std::optional<duration> upstream_board::old_for(entry const& item,
+                                                model_id const& model,
+                                                time_point now) const
 {
-    auto const newest = m_newest.find(model);
+    auto const named = m_named.find(model);
     auto const loaded = item.m_record.m_weights.find(model);
-    return newest != m_newest.end() &&
-           loaded != item.m_record.m_weights.end() &&
-           loaded->second < newest->second.m_version;
+    if (named == m_named.end() || loaded == item.m_record.m_weights.end())
+    {
+        return std::nullopt;
+    }
+    for (auto const& [version, named_at] : named->second)
+    {
+        if (version > loaded->second)
+        {
+            return std::max(duration::zero(), now - named_at);
+        }
+    }
+    return std::nullopt;
 }
 
 duration upstream_board::cost(entry const& item,
@@ -139,9 +158,8 @@
     {
         total += m_options.m_token_cost * question.m_prefix_tokens.value();
     }
-    if (is_old(item, question.m_model) &&
-        now - m_newest.at(question.m_model).m_named_at >
-            m_options.m_prefer_newest_after)
+    auto const old_for = this->old_for(item, question.m_model, now);
+    if (old_for && *old_for > m_options.m_prefer_newest_after)
     {
         total += m_options.m_old_weights_cost;
     }
@@ -172,9 +190,8 @@
             {
                 continue;
             }
-            if (is_old(item, question.m_model) &&
-                now - m_newest.at(question.m_model).m_named_at >
-                    m_options.m_old_weights_limit)
+            auto const old_for = this->old_for(item, question.m_model, now);
+            if (old_for && *old_for > m_options.m_old_weights_limit)
             {
                 continue;
             }
