Change: [Orders] handover of the order lease by the store's clock, emptying ahead

Engines were out of service for up to 3.2 s a load, because streams outlast the 500 ms in which they were emptied.

Change: the row says when it was written by the store's clock, so its age counts from there; a stopping holder goes on and releases the lease at its end; engines empty themselves for up to 1.5 s while others load, and no further ones while empty ones wait.

--- a/include/daisylead/serving/order_lease_base.hpp
+++ b/include/daisylead/serving/order_lease_base.hpp
@@ -26,7 +26,9 @@
 struct lease_row_state
 {
     std::uint64_t m_version = 0; ///< of the row; 0: there is none
-    instance_id m_holder;        ///< who wrote it
+    instance_id m_holder;        ///< who wrote it; empty: released
+    /** Time since its writer sent the write, at least; by the store's clock. */
+    duration m_age{};
 };
 
 /** One conditional row in the store. Its holder renews it while it has orders
@@ -52,6 +54,9 @@
      *  @param sent_at when the call was sent */
     void note_written(std::uint64_t version, time_point sent_at);
 
+    /** The lease was given up; a successor waits for the handover only. */
+    void note_released();
+
     /** The condition of the write did not hold, or its outcome is unknown. */
     void note_write_failed(time_point now);
 
--- a/include/daisylead/serving/rollout_planner_base.hpp
+++ b/include/daisylead/serving/rollout_planner_base.hpp
@@ -16,12 +16,13 @@
     /** Engines that may load at once, as a share of all; more of them load
      *  more slowly. Rounded up. */
     double m_load_share = 1.0 / 6;
-    /** Engines that may empty themselves for the next loads meanwhile, per
-     *  engine that may load. */
-    double m_empty_ahead = 1.0;
+    /** Engines that may empty themselves meanwhile, per engine that may load.
+     *  Emptying takes as long as the requests at an engine last, which is
+     *  about twice a load. */
+    double m_empty_ahead = 2.0;
     /** Longest time in which an engine empties itself before it is ordered to
      *  load; it finishes its requests then by itself. */
-    duration m_max_empty = std::chrono::milliseconds(500);
+    duration m_max_empty = std::chrono::milliseconds(1500);
     /** Pause before an engine whose order failed is tried again. */
     duration m_pause = std::chrono::milliseconds(300);
     /** From this age of the version on, all other engines load at once: the
--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -173,6 +173,7 @@
             if ((since > least_drain && idle) ||
                 since > m_settings.m_grace - grace_margin)
             {
+                co_await m_orders.release();
                 m_context.stop();
                 co_return;
             }
--- a/src/entry/order_giver.cpp
+++ b/src/entry/order_giver.cpp
@@ -37,9 +37,12 @@
 /** Pause between attempts to take the lease. */
 constexpr std::chrono::milliseconds lease_pause = 300ms;
 
+/** Shortest time of a load; earlier reports cannot show its end. */
+constexpr std::chrono::milliseconds least_load = 520ms;
+
 /** Interval in which an engine that loads is asked for its state; its report
  *  is some hundred milliseconds old. */
-constexpr std::chrono::milliseconds report_interval = 130ms;
+constexpr std::chrono::milliseconds report_interval = 110ms;
 
 /** Time for a load before it is taken as lost. */
 constexpr duration most_load = 3500ms;
@@ -130,7 +133,7 @@
         bool const busy = std::any_of(m_planners.begin(), m_planners.end(),
                                       [](auto const& entry)
                                       { return entry.second.is_busy(); });
-        if (m_state.m_draining || (!is_pending() && !busy))
+        if (m_released || (!is_pending() && !busy))
         {
             m_pending_since.reset();
             co_await pause(m_executor, idle_step);
@@ -148,7 +151,8 @@
             m_lease.is_last_holder()
                 ? duration::zero()
                 : rank_delay * static_cast<int>(m_state.rank(now));
-        if (!holds && (other_works || now - *m_pending_since < delay))
+        if (!holds && (m_state.m_draining || other_works ||
+                       now - *m_pending_since < delay))
         {
             co_await pause(m_executor, plan_step);
             continue;
@@ -171,6 +175,27 @@
     }
 }
 
+awaitable<void> order_giver::release()
+{
+    m_released = true;
+    if (!m_lease.token(boot_time()))
+    {
+        co_return;
+    }
+    std::optional<serving::lease_row_state> const row =
+        co_await m_state.m_calls.read_lease();
+    if (row && row->m_holder == m_state.m_settings.m_instance)
+    {
+        instance_id const nobody;
+        lease_write const written =
+            co_await m_state.m_calls.write_lease(row->m_version, nobody);
+        telemetry::log(severity::info, "order_lease_released",
+                       {{"written", written.m_status ==
+                                        lease_write::status::written}});
+    }
+    m_lease.note_released();
+}
+
 awaitable<bool> order_giver::hold_lease()
 {
     if (m_lease.wants_read(boot_time()))
@@ -349,6 +374,7 @@
             // An order without an answer may still be carried out; the reports
             // show whether it is.
             ordered = true;
+            co_await pause(m_executor, least_load);
         }
         co_await pause(m_executor, report_interval);
     }
--- a/src/entry/order_giver.hpp
+++ b/src/entry/order_giver.hpp
@@ -19,6 +19,10 @@
     /** Starts looking for old weights. */
     void start();
 
+    /** Gives the order lease back, so that a successor need not wait for its
+     *  end. */
+    awaitable<void> release();
+
 private:
     awaitable<void> loop();
     awaitable<bool> hold_lease();
@@ -36,6 +40,7 @@
     std::map<model_id, serving::rollout_planner> m_planners;
     std::optional<time_point> m_pending_since;
     std::optional<std::uint64_t> m_last_token;
+    bool m_released = false; ///< the process ends
 };
 
 } // namespace daisylead::entry
--- a/src/serving/order_lease.cpp
+++ b/src/serving/order_lease.cpp
@@ -1,6 +1,8 @@
 /** @file Which instance may give orders to engines. */
 #include <daisylead/serving/order_lease_base.hpp>
 
+#include <algorithm>
+
 namespace daisylead::serving
 {
 
@@ -19,6 +21,7 @@
         m_changed_at = read_at;
         m_token.reset();
     }
+    m_changed_at = std::min(m_changed_at, read_at - row.m_age);
     m_known = true;
 }
 
@@ -38,9 +41,11 @@
         bool const due = m_held_until - now < m_options.m_duration / 2;
         return due ? std::optional(m_row.m_version) : std::nullopt;
     }
-    bool const free =
-        m_row.m_version == 0 || is_last_holder() ||
-        now - m_changed_at >= m_options.m_duration + m_options.m_handover;
+    duration const wait =
+        m_row.m_holder.empty() ? m_options.m_handover
+                               : m_options.m_duration + m_options.m_handover;
+    bool const free = m_row.m_version == 0 || is_last_holder() ||
+                      now - m_changed_at >= wait;
     return free ? std::optional(m_row.m_version) : std::nullopt;
 }
 
@@ -56,6 +61,12 @@
     m_held_until = sent_at + m_options.m_duration;
 }
 
+void order_lease::note_released()
+{
+    m_token.reset();
+    m_known = false;
+}
+
 void order_lease::note_write_failed(time_point)
 {
     m_known = false;
--- a/src/serving/rollout_planner.cpp
+++ b/src/serving/rollout_planner.cpp
@@ -114,10 +114,20 @@
                   return std::pair(a->m_version, a->m_in_flight) <
                          std::pair(b->m_version, b->m_in_flight);
               });
+    // Engines that are empty already and wait for their turn to load are out
+    // of service for nothing, so no further ones are emptied then.
+    std::size_t const emptied = static_cast<std::size_t>(std::count_if(
+        m_turns.begin(), m_turns.end(),
+        [&by_id](auto const& entry)
+        {
+            return !entry.second.m_ordered &&
+                   by_id.at(entry.first)->m_in_flight == 0;
+        }));
     for (rollout_engine const* item : waiting)
     {
         bool const starts = item->m_in_flight == 0 && loading < most_loading;
-        if (!starts && emptying >= most_emptying)
+        if (!starts &&
+            (emptying >= most_emptying || (emptied >= at_once && !hurries)))
         {
             break;
         }
