Add: [Entry] KV cache store: fetch and save by prefix, saves told to peers

Change: requests with a shared prefix fetch from the KV cache store while it is known to live; a prefix is saved by the first request that needs it, and peers learn of the save within 150 ms; the first instances by rank watch the store and its epoch.

--- a/include/daisylead/entry/adapter_type.hpp
+++ b/include/daisylead/entry/adapter_type.hpp
@@ -67,6 +67,13 @@
     std::uint64_t m_orders = 0; ///< number of orders that it must have seen
 };
 
+/** State of a KV cache store. */
+struct kv_store_state
+{
+    std::int64_t m_epoch = 0; ///< changes when it restarts empty
+    std::uint64_t m_next = 0; ///< to ask for what comes after this answer
+};
+
 enum class order_outcome
 {
     accepted, ///< it loads, or it has the version already
@@ -133,6 +140,11 @@
     std::function<awaitable<std::optional<engine_report>>(
         upstream_id const&, std::string const& address)>
         read_report;
+    /** Waits a short time for changes of a KV cache store.
+     *  @return nothing if it gave no answer */
+    std::function<awaitable<std::optional<kv_store_state>>(
+        std::string const& address, std::uint64_t since)>
+        watch_kv_store;
     /** Sends an order to an engine. */
     std::function<awaitable<order_outcome>(load_order const&)> send_order;
 };
--- a/include/daisylead/serving/fleet_news_type.hpp
+++ b/include/daisylead/serving/fleet_news_type.hpp
@@ -50,6 +50,9 @@
     std::uint64_t m_weights_token = 0;   ///< fencing token of the order lease
     std::vector<weights_news> m_weights; ///< from the holder of that lease
     std::vector<request::quarantine_news> m_suspects; ///< since the last news
+    std::int64_t m_kv_store_epoch = 0; ///< changes when the store restarts
+    std::optional<std::int64_t> m_kv_store_age_ms; ///< since it last answered
+    std::vector<std::uint64_t> m_saved; ///< prefixes sent to the KV cache store
     bool m_wants_members = false;                     ///< reply with m_members
     bool m_wants_rules = false;       ///< reply with m_rules_document
     bool m_wants_upstreams = false;   ///< reply with m_upstreams_document
--- a/src/entry/fleet_exchange.cpp
+++ b/src/entry/fleet_exchange.cpp
@@ -32,6 +32,9 @@
 /** Step in which the send loop looks for peers that are due. */
 constexpr std::chrono::milliseconds send_step = 50ms;
 
+/** Interval in which peers are told of prefixes in the KV cache store. */
+constexpr duration saved_interval = 150ms;
+
 serving::document_state state_of(serving::document const& document,
                                  std::optional<duration> age)
 {
@@ -103,6 +106,13 @@
                      : std::nullopt);
     news.m_use = m_state.m_quotas.own_use();
     news.m_in_flight = m_state.m_board.own_in_flight();
+    news.m_kv_store_epoch = m_state.m_kv_store_epoch;
+    if (m_state.m_kv_store_seen)
+    {
+        news.m_kv_store_age_ms = std::chrono::ceil<std::chrono::milliseconds>(
+                                     now - *m_state.m_kv_store_seen)
+                                     .count();
+    }
     if (m_state.m_weights_news_until && now < *m_state.m_weights_news_until)
     {
         news.m_weights_token = m_state.m_weights_token;
@@ -117,6 +127,7 @@
     std::vector<std::string> seeds = m_state.m_settings.m_seeds;
     std::erase(seeds, m_self.m_address);
     time_point next_seeds = boot_time();
+    time_point next_saved = boot_time();
     for (;;)
     {
         time_point const now = boot_time();
@@ -140,9 +151,17 @@
         }
         std::vector<request::quarantine_news> suspects =
             std::exchange(m_state.m_suspect_news, {});
+        bool const tells_saved = now >= next_saved;
+        std::vector<std::uint64_t> saved;
+        if (tells_saved)
+        {
+            next_saved = now + saved_interval;
+            saved = std::exchange(m_state.m_saved_news, {});
+        }
         for (auto& [id, peer] : m_state.m_peers)
         {
-            bool const due = now >= peer.m_next_call || !suspects.empty();
+            bool const due = now >= peer.m_next_call || !suspects.empty() ||
+                             !saved.empty();
             if (!due || peer.m_call_open)
             {
                 continue;
@@ -154,6 +173,7 @@
             serving::fleet_news news = make_news();
             news.m_wants_members = !peer.m_knows_members;
             news.m_suspects = suspects;
+            news.m_saved = saved;
             send(peer.m_member.m_address, std::move(news), id);
         }
         boost::system::error_code ignored;
@@ -232,6 +252,10 @@
     {
         m_state.m_quarantine.on_news(suspect, now);
     }
+    for (std::uint64_t const prefix : news.m_saved)
+    {
+        m_state.note_saved(prefix);
+    }
     if (!news.m_weights.empty() &&
         news.m_weights_token >= m_state.m_weights_token)
     {
@@ -305,6 +329,12 @@
             ask.m_wants_upstreams = true;
         }
     }
+    if (reply.m_kv_store_age_ms)
+    {
+        m_state.note_kv_store(
+            reply.m_kv_store_epoch,
+            sent_at - std::chrono::milliseconds(*reply.m_kv_store_age_ms));
+    }
     if (ask.m_wants_rules || ask.m_wants_upstreams)
     {
         serving::fleet_news news = make_news();
--- a/src/entry/fleet_state.cpp
+++ b/src/entry/fleet_state.cpp
@@ -36,7 +36,11 @@
 constexpr duration quarantine_period = 30s;
 
 /** Prefixes that are remembered as saved to the KV cache store. */
-constexpr std::size_t max_saved_prefixes = 4096;
+constexpr std::size_t max_saved = 4096;
+
+/** Without an answer for this long, the KV cache store counts as down: a fetch
+ *  from a dead one costs some hundred milliseconds. */
+constexpr duration kv_store_silent_after = 1800ms;
 
 /** A prefix is saved again after this long: the store drops what was used
  *  least recently, and loses all when it restarts. */
@@ -92,7 +96,7 @@
                  static_cast<double>(settings.m_retry_extra),
                  settings.m_retry_window}),
       m_quarantine({quarantine_period}), m_changed(executor),
-      m_saved_prefixes(max_saved_prefixes)
+      m_saved(max_saved)
 {
     m_changed.expires_at(std::chrono::steady_clock::time_point::max());
 }
@@ -294,20 +298,62 @@
     }
 }
 
-bool fleet_state::note_prefix_saved(std::string const& scope,
-                                    std::uint64_t prefix)
+void fleet_state::note_kv_store(std::int64_t epoch, time_point seen_at)
+{
+    if (m_kv_store_seen && seen_at <= *m_kv_store_seen)
+    {
+        return;
+    }
+    if (epoch != m_kv_store_epoch)
+    {
+        telemetry::log(severity::info, "kv_store_epoch", {{"epoch", epoch}});
+        m_kv_store_epoch = epoch;
+        m_saved = request::recent_map<std::uint64_t, time_point>(max_saved);
+        m_saved_news.clear();
+    }
+    if (!m_kv_store_seen)
+    {
+        telemetry::log(severity::info, "kv_store_reached", {});
+    }
+    m_kv_store_seen = seen_at;
+}
+
+void fleet_state::note_kv_store_silent()
+{
+    if (m_kv_store_seen)
+    {
+        telemetry::log(severity::warning, "kv_store_lost", {});
+        m_kv_store_seen.reset();
+    }
+}
+
+bool fleet_state::is_kv_store_up(time_point now) const
+{
+    return m_kv_store_seen && now - *m_kv_store_seen < kv_store_silent_after &&
+           m_catalog && !m_catalog->kv_store().empty();
+}
+
+bool fleet_state::take_unsaved(std::uint64_t prefix)
 {
     time_point const now = boot_time();
-    std::uint64_t const key = XXH64(scope.data(), scope.size(), prefix);
-    time_point& saved = m_saved_prefixes.get(key, time_point::min());
+    time_point& saved = m_saved.get(prefix, time_point::min());
     if (saved != time_point::min() && now - saved < save_again_after)
     {
         return false;
     }
     saved = now;
+    if (m_saved_news.size() < max_saved)
+    {
+        m_saved_news.push_back(prefix);
+    }
     return true;
 }
 
+void fleet_state::note_saved(std::uint64_t prefix)
+{
+    m_saved.get(prefix, boot_time()) = boot_time();
+}
+
 void fleet_state::wake()
 {
     m_changed.expires_at(std::chrono::steady_clock::time_point::max());
--- a/src/entry/fleet_state.hpp
+++ b/src/entry/fleet_state.hpp
@@ -77,15 +77,21 @@
     /** Queues news of suspects for the peers. */
     void note_suspects(std::vector<request::quarantine_news> news);
 
+    /** The KV cache store answered at @p seen_at. */
+    void note_kv_store(std::int64_t epoch, time_point seen_at);
+
+    /** The KV cache store gave no answer. */
+    void note_kv_store_silent();
+
     /** @return whether the KV cache store can be used. */
-    bool is_kv_store_up() const
-    {
-        return m_kv_store_up && m_catalog && !m_catalog->kv_store().empty();
-    }
+    bool is_kv_store_up(time_point now) const;
+
+    /** @return whether the prefix is not known to be in the KV cache store; it
+     *          counts as saved from then on, here and at the peers */
+    bool take_unsaved(std::uint64_t prefix);
 
-    /** @return whether the prefix should be saved to the KV cache store; it
-     *          counts as saved from then on */
-    bool note_prefix_saved(std::string const& scope, std::uint64_t prefix);
+    /** A peer saves the prefix. */
+    void note_saved(std::uint64_t prefix);
 
     /** Wakes all requests that wait for a change. */
     void wake();
@@ -112,7 +118,9 @@
     std::vector<serving::weights_news> m_weights_news;
     std::optional<time_point> m_weights_news_until; ///< own news is sent
     std::optional<time_point> m_weights_heard;      ///< news of another holder
-    bool m_kv_store_up = false;
+    std::int64_t m_kv_store_epoch = 0;
+    std::optional<time_point> m_kv_store_seen; ///< its last answer
+    std::vector<std::uint64_t> m_saved_news;   ///< not sent to peers yet
     bool m_draining = false;
     std::size_t m_active_requests = 0;
     boost::asio::steady_timer m_changed; ///< cancelled by wake()
@@ -120,7 +128,8 @@
 private:
     std::uint64_t m_unreadable_revision = 0; ///< logged last
     std::vector<serving::upstream_record> m_listed; ///< decoded m_upstreams
-    request::recent_map<std::uint64_t, time_point> m_saved_prefixes;
+    /** Prefixes in the KV cache store, with the time of the save. */
+    request::recent_map<std::uint64_t, time_point> m_saved;
     void apply_catalog(serving::catalog catalog, time_point named_at);
 };
 
--- a/src/entry/request_attempt.cpp
+++ b/src/entry/request_attempt.cpp
@@ -4,6 +4,8 @@
 
 #include <daisylead/telemetry/log_func.hpp>
 
+#include <xxhash.h>
+
 #include <algorithm>
 
 namespace daisylead::entry
@@ -56,6 +58,21 @@
     return scope;
 }
 
+bool request_runner::wants_save(std::string const& scope)
+{
+    // Each leading prefix counts by itself: a new one often begins with parts
+    // that are saved already, and a saved first part helps other prompts.
+    std::uint64_t prefix = XXH64(scope.data(), scope.size(), 0);
+    bool unsaved = false;
+    for (std::size_t i = 0; i + 1 < m_description.m_parts.size(); ++i)
+    {
+        std::string const& part = m_description.m_parts[i].m_id;
+        prefix = XXH64(part.data(), part.size(), prefix);
+        unsaved = m_state.take_unsaved(prefix) || unsaved;
+    }
+    return unsaved;
+}
+
 http::request<http::string_body>
 request_runner::make_upstream_request(serving::placement const& place,
                                       std::chrono::milliseconds left)
@@ -72,10 +89,10 @@
         call.m_cache_scope = cache_scope(place.m_weights);
         call.m_urgency = std::clamp(m_priority, 0, 9);
         if (m_prefix_tokens.value() >= least_fetch_tokens &&
-            m_state.is_kv_store_up())
+            m_state.is_kv_store_up(boot_time()))
         {
             call.m_fetch_from = m_catalog->kv_store();
-            if (m_state.note_prefix_saved(call.m_cache_scope, m_prefix))
+            if (wants_save(call.m_cache_scope))
             {
                 call.m_save_to = m_catalog->kv_store();
             }
--- a/src/entry/request_runner.hpp
+++ b/src/entry/request_runner.hpp
@@ -60,6 +60,7 @@
     make_upstream_request(serving::placement const& place,
                           std::chrono::milliseconds left);
     std::string cache_scope(std::int64_t weights) const;
+    bool wants_save(std::string const& scope);
     std::chrono::milliseconds time_left() const;
     duration retry_pause() const;
     awaitable<void> refuse(refusal const& reason);
--- a/src/entry/store_follower.cpp
+++ b/src/entry/store_follower.cpp
@@ -34,6 +34,17 @@
 /** Pause after a failed read. */
 constexpr std::chrono::milliseconds failed_pause = 250ms;
 
+/** Age of an answer of the KV cache store after which it is asked again, by the
+ *  first instance by rank. */
+constexpr duration kv_watch_interval = 300ms;
+
+/** The same for each further rank: a store that is gone must not be asked by
+ *  all at once. */
+constexpr duration kv_rank_step = 300ms;
+
+/** Pause after the KV cache store gave no answer. */
+constexpr std::chrono::milliseconds kv_lost_pause = 400ms;
+
 /** Interval in which the rows of the members are read again. */
 constexpr std::chrono::milliseconds members_interval = 20s;
 
@@ -62,6 +73,7 @@
     asio::co_spawn(m_executor, rules_loop(), asio::detached);
     asio::co_spawn(m_executor, upstreams_loop(), asio::detached);
     asio::co_spawn(m_executor, members_loop(), asio::detached);
+    asio::co_spawn(m_executor, kv_store_loop(), asio::detached);
 }
 
 duration store_follower::read_age(time_point now) const
@@ -149,6 +161,41 @@
     }
 }
 
+awaitable<void> store_follower::kv_store_loop()
+{
+    std::uint64_t since = 0;
+    for (;;)
+    {
+        time_point const now = boot_time();
+        bool const has_store =
+            m_state.m_catalog && !m_state.m_catalog->kv_store().empty();
+        bool const told = m_state.m_kv_store_seen &&
+                          now - *m_state.m_kv_store_seen <
+                              kv_watch_interval +
+                                  kv_rank_step *
+                                      static_cast<int>(m_state.rank(now));
+        if (!has_store || told)
+        {
+            co_await pause(m_executor, look_step * 2);
+            continue;
+        }
+        std::string const address = m_state.m_catalog->kv_store();
+        std::optional<kv_store_state> const state =
+            co_await m_state.m_calls.watch_kv_store(address, since);
+        if (state)
+        {
+            since = state->m_next;
+            // The answer shows that it lives at the end of the call.
+            m_state.note_kv_store(state->m_epoch, boot_time());
+        }
+        else
+        {
+            m_state.note_kv_store_silent();
+            co_await pause(m_executor, kv_lost_pause);
+        }
+    }
+}
+
 awaitable<void> store_follower::members_loop()
 {
     bool written = false;
--- a/src/entry/store_follower.hpp
+++ b/src/entry/store_follower.hpp
@@ -20,6 +20,7 @@
     awaitable<void> rules_loop();
     awaitable<void> upstreams_loop();
     awaitable<void> members_loop();
+    awaitable<void> kv_store_loop();
     duration read_age(time_point now) const;
     void note_store(bool answered, bool& lost, std::string const& what);
 
--- a/src/peer/codec.cpp
+++ b/src/peer/codec.cpp
@@ -341,6 +341,13 @@
     }
     item.setRulesDocument(to_data(body.m_rules_document));
     item.setUpstreamsDocument(to_data(body.m_upstreams_document));
+    item.setKvStoreEpoch(body.m_kv_store_epoch);
+    item.setKvStoreAgeMs(body.m_kv_store_age_ms.value_or(-1));
+    auto saved = item.initSaved(size_of(body.m_saved));
+    for (unsigned i = 0; i < size_of(body.m_saved); ++i)
+    {
+        saved.set(i, body.m_saved[i]);
+    }
 }
 
 membership::ping decode_ping(reader source)
@@ -504,6 +511,15 @@
     }
     body.m_rules_document = from_data(item.getRulesDocument());
     body.m_upstreams_document = from_data(item.getUpstreamsDocument());
+    body.m_kv_store_epoch = item.getKvStoreEpoch();
+    if (item.getKvStoreAgeMs() >= 0)
+    {
+        body.m_kv_store_age_ms = item.getKvStoreAgeMs();
+    }
+    for (std::uint64_t const prefix : item.getSaved())
+    {
+        body.m_saved.push_back(prefix);
+    }
     return body;
 }
 
--- a/src/peer/peer.capnp
+++ b/src/peer/peer.capnp
@@ -167,4 +167,7 @@
   members @12 :List(Member);
   rulesDocument @13 :Data;
   upstreamsDocument @14 :Data;
+  kvStoreEpoch @15 :Int64;
+  kvStoreAgeMs @16 :Int64 = -1;
+  saved @17 :List(UInt64);
 }
