Change: [Orders] at most half of the engines out of service, placing by memory

Counts of requests put eleven long prompts, which fill an engine's memory, on the same footing as eleven short ones.

Change: at most half of the engines are out of service; an engine is ordered to load at two requests left or after 2.5 s; engines near their deadline go beyond the share; instances tell the tokens of their requests, and a full memory costs. Tests of the decision library for boards, leases, quotas, rollouts, streams.

Ruled out: ordering at once and letting engines finish by themselves (loads would collide beyond the three that load at full speed).

--- a/include/daisylead/config/entry_settings_type.hpp
+++ b/include/daisylead/config/entry_settings_type.hpp
@@ -33,7 +33,7 @@
     std::int64_t m_retry_extra = 100;    ///< [bounds] retry_extra
     milliseconds m_retry_window{10000};  ///< [bounds] retry_window_s
     milliseconds m_grace{8000};          ///< [bounds] grace_s
-    std::int64_t m_load_percent = 17;    ///< [orders] load_percent
+    std::int64_t m_load_percent = 16;    ///< [orders] load_percent
     std::string m_log_level = "info";    ///< [log] level
 };
 
--- a/include/daisylead/serving/rollout_planner_base.hpp
+++ b/include/daisylead/serving/rollout_planner_base.hpp
@@ -15,21 +15,23 @@
 {
     /** Engines that may load at once, as a share of all; more of them load
      *  more slowly. Rounded up. */
-    double m_load_share = 1.0 / 6;
-    /** Engines that may empty themselves meanwhile, per engine that may load.
-     *  Emptying takes as long as the requests at an engine last, which is
-     *  about twice a load. */
-    double m_empty_ahead = 2.0;
+    double m_load_share = 0.16;
+    /** Engines that may be out of service at once, emptying themselves or
+     *  loading, as a share of all. The others carry the whole traffic. */
+    double m_out_share = 0.5;
+    /** An engine with so few requests left is ordered to load; it finishes
+     *  these first. Counts of other instances lag. */
+    std::int64_t m_order_at = 2;
     /** Longest time in which an engine empties itself before it is ordered to
-     *  load; it finishes its requests then by itself. */
-    duration m_max_empty = std::chrono::milliseconds(1500);
+     *  load; few streams last longer. */
+    duration m_max_empty = std::chrono::milliseconds(2500);
     /** Pause before an engine whose order failed is tried again. */
     duration m_pause = std::chrono::milliseconds(300);
-    /** From this age of the version on, all other engines load at once: the
-     *  deadline for old weights is near. */
-    duration m_hurry_after = std::chrono::milliseconds(4500);
+    /** An engine whose weights have been old for this long is taken next and
+     *  beyond the share that may load at once: its deadline is near. */
+    duration m_hurry_after = std::chrono::milliseconds(5000);
     /** A load that takes longer is taken as lost and asked for again. */
-    duration m_max_load = std::chrono::milliseconds(4000);
+    duration m_max_load = std::chrono::milliseconds(8500);
 };
 
 /** An engine as the planner sees it. */
@@ -39,6 +41,7 @@
     std::int64_t m_started = 0;   ///< its start
     std::int64_t m_version = 0;   ///< loaded version
     std::int64_t m_in_flight = 0; ///< requests at it
+    duration m_old_for{};         ///< since a newer version was named
 };
 
 enum class rollout_step
@@ -63,9 +66,8 @@
 public:
     explicit rollout_planner(rollout_options options);
 
-    /** @param target newest version
-     *  @param named_at when it became known */
-    void set_target(std::int64_t target, time_point named_at);
+    /** @param target newest version */
+    void set_target(std::int64_t target);
 
     /** @return target version; 0 before the first. */
     std::int64_t target() const
@@ -100,7 +102,6 @@
 
     rollout_options m_options;
     std::int64_t m_target = 0;
-    time_point m_named_at;
     std::unordered_map<upstream_id, turn> m_turns;
     std::unordered_map<upstream_id, time_point> m_paused_until;
 };
--- a/include/daisylead/serving/upstream_board_base.hpp
+++ b/include/daisylead/serving/upstream_board_base.hpp
@@ -45,6 +45,12 @@
     duration m_old_weights_cost = std::chrono::milliseconds(400);
     /** From this age of a newer version on, older weights are not used. */
     duration m_old_weights_limit = std::chrono::milliseconds(7000);
+    /** Cost of an engine whose memory the prompts in progress would fill once
+     *  more than it has: about what a request takes from start to end, for
+     *  which the next one waits. */
+    duration m_memory_cost = std::chrono::milliseconds(1500);
+    /** Part of an engine's memory that prompts in progress can use. */
+    double m_memory_part = 0.7;
     /** Requests at one upstream over all instances, per slot. */
     double m_max_per_slot = 2.0;
     /** An engine counts as loading for this long after the last news that it
@@ -61,6 +67,8 @@
     model_id m_model;                 ///< empty for plain services
     std::uint64_t m_prefix = 0;       ///< hash of the shared prefix; 0: none
     token_count m_prefix_tokens;      ///< its size
+    token_count m_tokens;             ///< all of its prompt and output
+    token_count m_capacity;           ///< memory of an engine; 0: unknown
     std::set<upstream_id> m_excluded; ///< tried already
     zone_id m_zone;                   ///< of this instance
 };
@@ -94,8 +102,16 @@
     bool m_switching = false;   ///< takes no new work while it loads
 };
 
-/** Requests at upstreams, by upstream. */
-using in_flight_counts = std::vector<std::pair<upstream_id, std::int64_t>>;
+/** Requests of one instance at an upstream. */
+struct upstream_use
+{
+    upstream_id m_upstream;      ///< where they are
+    std::int64_t m_requests = 0; ///< how many
+    std::int64_t m_tokens = 0;   ///< of their prompts and outputs
+};
+
+/** Requests of one instance, by upstream. */
+using in_flight_counts = std::vector<upstream_use>;
 
 /** Upstreams by service, as listed and as seen by this instance and its peers.
  */
@@ -121,14 +137,16 @@
     placement place(placement_question const& question, time_point now);
 
     /** A request goes to the upstream. */
-    void note_sent(upstream_id const& id, std::uint64_t prefix);
+    void note_sent(upstream_id const& id, std::uint64_t prefix,
+                   token_count tokens);
 
     /** The first bytes of its answer came. */
     void note_first_bytes(upstream_id const& id);
 
     /** The request ended.
-     *  @param began whether note_first_bytes() was called for it */
-    void note_ended(upstream_id const& id, bool began);
+     *  @param began whether note_first_bytes() was called for it
+     *  @param tokens as of note_sent() */
+    void note_ended(upstream_id const& id, bool began, token_count tokens);
 
     /** It cannot be reached, or it ended connections without an answer. */
     void note_unreachable(upstream_id const& id, time_point now);
@@ -163,6 +181,11 @@
     /** @return requests at the upstream, of all instances. */
     std::int64_t in_flight(upstream_id const& id) const;
 
+    /** @return how long the engine's weights have been old, if they are. */
+    std::optional<duration> old_for(upstream_id const& id,
+                                    model_id const& model,
+                                    time_point now) const;
+
     /** @return whether the engine takes no new work because it loads. */
     bool is_switching(upstream_id const& id, time_point now) const;
 
@@ -173,7 +196,9 @@
         bool m_missing = false; ///< lapsed during an outage of the store
         std::int64_t m_waiting = 0;
         std::int64_t m_running = 0;
-        std::int64_t m_peers = 0; ///< requests of peers
+        std::int64_t m_tokens = 0;      ///< of own requests
+        std::int64_t m_peers = 0;       ///< requests of peers
+        std::int64_t m_peer_tokens = 0; ///< of requests of peers
         int m_failures = 0;
         time_point m_paused_until;
         time_point m_switching_until; ///< takes no new work until then
@@ -187,6 +212,7 @@
      *  oldest first. An engine is judged by the first one that it lacks. */
     using named_versions = std::vector<std::pair<std::int64_t, time_point>>;
 
+    void add_peer_use(in_flight_counts const& counts, int sign);
     void touch_prefix(entry& item, std::uint64_t prefix) const;
     duration cost(entry const& item, placement_question const& question,
                   std::size_t rank, time_point now) const;
--- a/src/entry/order_giver.cpp
+++ b/src/entry/order_giver.cpp
@@ -45,7 +45,7 @@
 constexpr std::chrono::milliseconds report_interval = 110ms;
 
 /** Time for a load before it is taken as lost. */
-constexpr duration most_load = 3500ms;
+constexpr duration most_load = 8s;
 
 /** Time in which the holder repeats the weights of engines after a change. */
 constexpr duration repeat_news = 2500ms;
@@ -251,7 +251,7 @@
         m_planners.try_emplace(model, options).first->second;
     if (planner.target() < version)
     {
-        planner.set_target(version, now);
+        planner.set_target(version);
         telemetry::log(severity::info, "weights_rollout",
                        {{"model", model.value()}, {"version", version}});
     }
@@ -261,7 +261,9 @@
     {
         list.push_back({engine.m_id, engine.m_started,
                         engine.m_weights.at(model),
-                        m_state.m_board.in_flight(engine.m_id)});
+                        m_state.m_board.in_flight(engine.m_id),
+                        m_state.m_board.old_for(engine.m_id, model, now)
+                            .value_or(duration::zero())});
         upstream_id const id = engine.m_id;
         records.emplace(id, std::move(engine));
     }
--- a/src/entry/request_attempt.cpp
+++ b/src/entry/request_attempt.cpp
@@ -112,19 +112,20 @@
     upstream_id const id = place.m_upstream.m_id;
     time_point const began = boot_time();
     m_tried.insert(id);
-    m_state.m_board.note_sent(id, m_prefix);
+    token_count const tokens = m_description.m_tokens.value_or(token_count());
+    m_state.m_board.note_sent(id, m_prefix, tokens);
     bool first_bytes = false;
     auto const left_to_connect = std::min(time_left(), connect_timeout);
     if (left_to_connect < 1ms)
     {
-        m_state.m_board.note_ended(id, false);
+        m_state.m_board.note_ended(id, false, tokens);
         co_return after_timeout();
     }
     m_upstream = co_await m_pool.get(place.m_upstream.m_address,
                                      left_to_connect, !m_route.m_repeatable);
     if (!m_upstream)
     {
-        m_state.m_board.note_ended(id, false);
+        m_state.m_board.note_ended(id, false, tokens);
         m_state.m_board.note_unreachable(id, boot_time());
         m_state.note_suspects(m_state.m_quarantine.upstream_crashed(
             {id, incarnation(place.m_upstream.m_started)}, boot_time()));
@@ -140,7 +141,7 @@
     // Knowledge may have aged while the request was held or connected.
     if (auto refused = check_key(boot_time()))
     {
-        m_state.m_board.note_ended(id, false);
+        m_state.m_board.note_ended(id, false, tokens);
         m_upstream->abort();
         m_refusal = m_runs > 0 ? refusal{502, refused->m_code,
                                          refused->m_message, std::nullopt}
@@ -150,7 +151,7 @@
     auto const left = time_left();
     if (left < 1ms || m_caller->is_gone())
     {
-        m_state.m_board.note_ended(id, false);
+        m_state.m_board.note_ended(id, false, tokens);
         m_upstream->abort();
         co_return m_caller->is_gone() ? verdict::answered : after_timeout();
     }
@@ -283,7 +284,7 @@
             }
         }
     }
-    m_state.m_board.note_ended(id, first_bytes);
+    m_state.m_board.note_ended(id, first_bytes, tokens);
     m_state.note_suspects(
         m_state.m_quarantine.attempt_ended(number, outcome, boot_time()));
     note_attempt(place, word, began);
--- a/src/entry/request_runner.cpp
+++ b/src/entry/request_runner.cpp
@@ -288,6 +288,11 @@
     }
     question.m_prefix = m_prefix;
     question.m_prefix_tokens = m_prefix_tokens;
+    question.m_tokens = m_description.m_tokens.value_or(token_count());
+    if (auto const* const service = m_catalog->find_service(m_service))
+    {
+        question.m_capacity = service->m_capacity;
+    }
     question.m_zone = m_state.m_settings.m_zone;
     for (;;)
     {
--- a/src/peer/codec.cpp
+++ b/src/peer/codec.cpp
@@ -316,8 +316,14 @@
     encode_document_state(body.m_rules, item.initRules());
     encode_document_state(body.m_upstreams, item.initUpstreams());
     encode_amounts(body.m_use, item.initUse(size_of(body.m_use)));
-    encode_amounts(body.m_in_flight,
-                   item.initInFlight(size_of(body.m_in_flight)));
+    auto in_flight = item.initInFlight(size_of(body.m_in_flight));
+    for (unsigned i = 0; i < size_of(body.m_in_flight); ++i)
+    {
+        serving::upstream_use const& use = body.m_in_flight[i];
+        in_flight[i].setUpstream(to_text(use.m_upstream.value()));
+        in_flight[i].setRequests(static_cast<std::int32_t>(use.m_requests));
+        in_flight[i].setTokens(use.m_tokens);
+    }
     item.setWeightsToken(body.m_weights_token);
     auto weights = item.initWeights(size_of(body.m_weights));
     for (unsigned i = 0; i < size_of(body.m_weights); ++i)
@@ -492,7 +498,11 @@
     body.m_rules = decode_document_state(item.getRules());
     body.m_upstreams = decode_document_state(item.getUpstreams());
     body.m_use = decode_amounts<organisation_id>(item.getUse());
-    body.m_in_flight = decode_amounts<upstream_id>(item.getInFlight());
+    for (auto const use : item.getInFlight())
+    {
+        body.m_in_flight.push_back({upstream_id(from_text(use.getUpstream())),
+                                    use.getRequests(), use.getTokens()});
+    }
     body.m_weights_token = item.getWeightsToken();
     for (auto const entry : item.getWeights())
     {
--- a/src/peer/peer.capnp
+++ b/src/peer/peer.capnp
@@ -143,6 +143,12 @@
   amount @1 :Int64;
 }
 
+struct UpstreamUse {
+  upstream @0 :Text;
+  requests @1 :Int32;
+  tokens @2 :Int64;
+}
+
 struct WeightsNews {
   upstream @0 :Text;
   started @1 :Int64;
@@ -157,7 +163,7 @@
   rules @2 :DocumentState;
   upstreams @3 :DocumentState;
   use @4 :List(Amount);
-  inFlight @5 :List(Amount);
+  inFlight @5 :List(UpstreamUse);
   weightsToken @6 :UInt64;
   weights @7 :List(WeightsNews);
   suspects @8 :List(QuarantinedRequest);
--- a/src/serving/rollout_planner.cpp
+++ b/src/serving/rollout_planner.cpp
@@ -11,12 +11,11 @@
 {
 }
 
-void rollout_planner::set_target(std::int64_t target, time_point named_at)
+void rollout_planner::set_target(std::int64_t target)
 {
     if (target > m_target)
     {
         m_target = target;
-        m_named_at = named_at;
         m_paused_until.clear();
     }
 }
@@ -56,38 +55,36 @@
         ++it;
     }
 
-    auto const at_once = static_cast<std::size_t>(std::max(
-        1.0,
-        std::ceil(static_cast<double>(engines.size()) * m_options.m_load_share -
-                  1e-9)));
-    bool const hurries = now - m_named_at > m_options.m_hurry_after;
-    std::size_t const most_loading = hurries ? engines.size() : at_once;
-    std::size_t const most_emptying =
-        hurries ? engines.size()
-                : static_cast<std::size_t>(std::ceil(
-                      static_cast<double>(at_once) * m_options.m_empty_ahead));
+    auto const share_of = [&engines](double share)
+    {
+        return static_cast<std::size_t>(std::max(
+            1.0, std::ceil(static_cast<double>(engines.size()) * share -
+                           1e-9)));
+    };
+    std::size_t const at_once = share_of(m_options.m_load_share);
+    std::size_t const most_out = share_of(m_options.m_out_share);
+    auto const hurries = [this](rollout_engine const& item)
+    { return item.m_old_for > m_options.m_hurry_after; };
 
-    // Engines that have no work left load first, then those whose time to
-    // empty themselves is over.
+    // Engines with the least work left load first.
     std::vector<std::pair<upstream_id, turn*>> empty;
     for (auto& [id, item] : m_turns)
     {
-        if (!item.m_ordered && (by_id.at(id)->m_in_flight == 0 ||
-                                now - item.m_since > m_options.m_max_empty))
+        if (!item.m_ordered &&
+            (by_id.at(id)->m_in_flight <= m_options.m_order_at ||
+             now - item.m_since > m_options.m_max_empty))
         {
             empty.emplace_back(id, &item);
         }
     }
-    std::sort(empty.begin(), empty.end(),
-              [&by_id](auto const& a, auto const& b) {
-                  return by_id.at(a.first)->m_in_flight <
-                         by_id.at(b.first)->m_in_flight;
-              });
+    std::sort(empty.begin(), empty.end(), [&by_id](auto const& a, auto const& b)
+              { return by_id.at(a.first)->m_in_flight <
+                       by_id.at(b.first)->m_in_flight; });
     for (auto const& [id, item] : empty)
     {
-        if (loading >= most_loading)
+        if (loading >= at_once && !hurries(*by_id.at(id)))
         {
-            break;
+            continue;
         }
         item->m_ordered = true;
         item->m_version = m_target;
@@ -116,7 +113,7 @@
               });
     // Engines that are empty already and wait for their turn to load are out
     // of service for nothing, so no further ones are emptied then.
-    std::size_t const emptied = static_cast<std::size_t>(std::count_if(
+    auto emptied = static_cast<std::size_t>(std::count_if(
         m_turns.begin(), m_turns.end(),
         [&by_id](auto const& entry)
         {
@@ -125,14 +122,16 @@
         }));
     for (rollout_engine const* item : waiting)
     {
-        bool const starts = item->m_in_flight == 0 && loading < most_loading;
-        if (!starts &&
-            (emptying >= most_emptying || (emptied >= at_once && !hurries)))
+        bool const starts =
+            item->m_in_flight == 0 && (loading < at_once || hurries(*item));
+        if (loading + emptying >= most_out ||
+            (emptied >= at_once && !hurries(*item)))
         {
             break;
         }
         m_turns[item->m_id] = {starts, m_target, now};
         ++(starts ? loading : emptying);
+        emptied += !starts && item->m_in_flight == 0 ? 1 : 0;
         actions.push_back({item->m_id, rollout_step::empty, m_target});
         if (starts)
         {
--- a/src/serving/upstream_board.cpp
+++ b/src/serving/upstream_board.cpp
@@ -55,7 +55,9 @@
             // this instance that have not ended yet.
             std::int64_t const waiting = item.m_waiting;
             std::int64_t const running = item.m_running;
+            std::int64_t const tokens = item.m_tokens;
             item = entry{};
+            item.m_tokens = tokens;
             item.m_waiting = waiting;
             item.m_running = running;
             item.m_record = record;
@@ -94,17 +96,11 @@
     {
         m_by_service[item.m_record.m_service].push_back(id);
         item.m_peers = 0;
+        item.m_peer_tokens = 0;
     }
     for (auto const& [peer, counts] : m_peers)
     {
-        for (auto const& [id, count] : counts)
-        {
-            auto const found = m_entries.find(id);
-            if (found != m_entries.end())
-            {
-                found->second.m_peers += count;
-            }
-        }
+        add_peer_use(counts, 1);
     }
     return {std::move(added), std::move(removed)};
 }
@@ -149,6 +145,16 @@
 {
     duration total = m_options.m_waiting_cost * item.m_waiting +
                      m_options.m_running_cost * (item.m_running + item.m_peers);
+    if (question.m_capacity.value() > 0)
+    {
+        double const filled =
+            static_cast<double>(item.m_tokens + item.m_peer_tokens +
+                                question.m_tokens.value()) /
+            static_cast<double>(question.m_capacity.value());
+        total += std::chrono::duration_cast<duration>(
+            std::max(0.0, filled - m_options.m_memory_part) *
+            std::chrono::duration<double>(m_options.m_memory_cost));
+    }
     if (item.m_record.m_zone != question.m_zone)
     {
         total += m_options.m_zone_cost;
@@ -275,7 +281,8 @@
     item.m_prefix_index[prefix] = item.m_prefixes.begin();
 }
 
-void upstream_board::note_sent(upstream_id const& id, std::uint64_t prefix)
+void upstream_board::note_sent(upstream_id const& id, std::uint64_t prefix,
+                               token_count tokens)
 {
     auto const found = m_entries.find(id);
     if (found == m_entries.end())
@@ -283,6 +290,7 @@
         return;
     }
     ++found->second.m_waiting;
+    found->second.m_tokens += tokens.value();
     if (prefix != 0)
     {
         touch_prefix(found->second, prefix);
@@ -299,7 +307,8 @@
     }
 }
 
-void upstream_board::note_ended(upstream_id const& id, bool began)
+void upstream_board::note_ended(upstream_id const& id, bool began,
+                                token_count tokens)
 {
     auto const found = m_entries.find(id);
     if (found != m_entries.end())
@@ -307,6 +316,8 @@
         std::int64_t& count =
             began ? found->second.m_running : found->second.m_waiting;
         count = std::max<std::int64_t>(0, count - 1);
+        found->second.m_tokens = std::max<std::int64_t>(
+            0, found->second.m_tokens - tokens.value());
     }
 }
 
@@ -366,37 +377,37 @@
         news.m_switching ? now + m_options.m_switching_lapse : now;
 }
 
-void upstream_board::note_peer(instance_id const& peer, in_flight_counts counts)
+void upstream_board::add_peer_use(in_flight_counts const& counts, int sign)
 {
-    drop_peer(peer);
-    for (auto const& [id, count] : counts)
+    for (upstream_use const& use : counts)
     {
-        auto const found = m_entries.find(id);
+        auto const found = m_entries.find(use.m_upstream);
         if (found != m_entries.end())
         {
-            found->second.m_peers += count;
+            entry& item = found->second;
+            item.m_peers = std::max<std::int64_t>(
+                0, item.m_peers + sign * use.m_requests);
+            item.m_peer_tokens = std::max<std::int64_t>(
+                0, item.m_peer_tokens + sign * use.m_tokens);
         }
     }
+}
+
+void upstream_board::note_peer(instance_id const& peer, in_flight_counts counts)
+{
+    drop_peer(peer);
+    add_peer_use(counts, 1);
     m_peers[peer] = std::move(counts);
 }
 
 void upstream_board::drop_peer(instance_id const& peer)
 {
     auto const known = m_peers.find(peer);
-    if (known == m_peers.end())
+    if (known != m_peers.end())
     {
-        return;
-    }
-    for (auto const& [id, count] : known->second)
-    {
-        auto const found = m_entries.find(id);
-        if (found != m_entries.end())
-        {
-            found->second.m_peers =
-                std::max<std::int64_t>(0, found->second.m_peers - count);
-        }
+        add_peer_use(known->second, -1);
+        m_peers.erase(known);
     }
-    m_peers.erase(known);
 }
 
 in_flight_counts upstream_board::own_in_flight() const
@@ -406,7 +417,8 @@
     {
         if (item.m_waiting + item.m_running > 0)
         {
-            counts.emplace_back(id, item.m_waiting + item.m_running);
+            counts.push_back(
+                {id, item.m_waiting + item.m_running, item.m_tokens});
         }
     }
     return counts;
@@ -467,6 +479,15 @@
                      found->second.m_peers;
 }
 
+std::optional<duration> upstream_board::old_for(upstream_id const& id,
+                                                model_id const& model,
+                                                time_point now) const
+{
+    auto const found = m_entries.find(id);
+    return found == m_entries.end() ? std::nullopt
+                                    : old_for(found->second, model, now);
+}
+
 bool upstream_board::is_switching(upstream_id const& id, time_point now) const
 {
     auto const found = m_entries.find(id);
--- /dev/null
+++ b/tests/serving/freshness_test.cpp
@@ -0,0 +1,137 @@
+/** @file Tests of the age of what was read from the store. */
+#include <daisylead/serving/freshness_base.hpp>
+#include <daisylead/serving/order_lease_base.hpp>
+
+#include <catch2/catch.hpp>
+
+using namespace daisylead;
+using namespace std::chrono_literals;
+using serving::freshness;
+using serving::order_lease;
+
+namespace
+{
+
+time_point const start = time_point(1000s);
+
+} // namespace
+
+TEST_CASE("keys must not outlive a withdrawal that this instance cannot see")
+{
+    freshness rules;
+    CHECK_FALSE(rules.is_valid(start, 4s));
+    CHECK(rules.note_read(7, start));
+    CHECK(rules.is_valid(start + 3s, 4s));
+    CHECK_FALSE(rules.is_valid(start + 4s, 4s));
+    rules.note_read(7, start + 2s);
+    CHECK(rules.is_valid(start + 5s, 4s));
+}
+
+TEST_CASE("a late answer with an older revision is no proof of the newer one")
+{
+    freshness rules;
+    rules.note_read(9, start);
+    CHECK_FALSE(rules.note_read(8, start + 3s));
+    CHECK(rules.age(start + 3s) == 3s);
+}
+
+TEST_CASE("a newer revision from an earlier read ends the proof of the old one")
+{
+    freshness rules;
+    rules.note_read(7, start + 2s);
+    CHECK(rules.note_read(8, start + 1s));
+    CHECK(rules.age(start + 2s) == 1s);
+}
+
+TEST_CASE("instances read the store in turn, so that not all read at once")
+{
+    CHECK(serving::read_after(0, 450ms, 250ms, 1100ms) == 450ms);
+    CHECK(serving::read_after(1, 450ms, 250ms, 1100ms) == 700ms);
+    CHECK(serving::read_after(18, 450ms, 250ms, 1100ms) == 1100ms);
+}
+
+namespace
+{
+
+serving::order_lease_options lease_options()
+{
+    serving::order_lease_options options;
+    options.m_duration = 1600ms;
+    options.m_handover = 3300ms;
+    options.m_margin = 400ms;
+    return options;
+}
+
+order_lease make_lease(char const* self)
+{
+    return {instance_id(self), lease_options()};
+}
+
+} // namespace
+
+TEST_CASE("a free lease is taken, and its token ends before the lease does")
+{
+    order_lease lease = make_lease("a");
+    CHECK(lease.wants_read(start));
+    lease.note_row({}, start);
+    REQUIRE(lease.write_due(start) == 0U);
+    lease.note_written(12, start);
+    CHECK(lease.token(start + 1s) == 12U);
+    CHECK_FALSE(lease.token(start + 1200ms));
+}
+
+TEST_CASE("a holder that was suspended must not send orders when it wakes")
+{
+    order_lease lease = make_lease("a");
+    lease.note_row({}, start);
+    lease.note_written(12, start);
+    // The clock of validities goes on while the machine is suspended.
+    CHECK_FALSE(lease.token(start + 6s));
+    lease.note_row({40, instance_id("b"), 0ms}, start + 6s);
+    CHECK_FALSE(lease.token(start + 6s));
+    CHECK_FALSE(lease.write_due(start + 6s));
+}
+
+TEST_CASE("a successor waits for all that the former holder could still send")
+{
+    order_lease lease = make_lease("b");
+    lease.note_row({12, instance_id("a"), 0ms}, start);
+    CHECK_FALSE(lease.write_due(start + 4800ms));
+    CHECK(lease.write_due(start + 4900ms) == 12U);
+}
+
+TEST_CASE("the age of the row counts, not the time at which it was first read")
+{
+    order_lease lease = make_lease("b");
+    lease.note_row({12, instance_id("a"), 5s}, start);
+    CHECK(lease.write_due(start) == 12U);
+}
+
+TEST_CASE("a renewal in between starts the wait of the successor anew")
+{
+    order_lease lease = make_lease("b");
+    lease.note_row({12, instance_id("a"), 0ms}, start);
+    lease.note_row({13, instance_id("a"), 0ms}, start + 4s);
+    CHECK_FALSE(lease.write_due(start + 5s));
+}
+
+TEST_CASE("a released lease is taken after the handover alone")
+{
+    order_lease lease = make_lease("b");
+    lease.note_row({14, instance_id(), 0ms}, start);
+    CHECK_FALSE(lease.write_due(start + 3200ms));
+    CHECK(lease.write_due(start + 3300ms) == 14U);
+}
+
+TEST_CASE("a write whose answer was lost gives a new and higher token")
+{
+    order_lease lease = make_lease("a");
+    lease.note_row({}, start);
+    lease.note_write_failed(start);
+    CHECK_FALSE(lease.write_due(start));
+    lease.note_row({20, instance_id("a"), 0ms}, start + 1s);
+    CHECK_FALSE(lease.token(start + 1s));
+    REQUIRE(lease.write_due(start + 1s) == 20U);
+    lease.note_written(21, start + 1s);
+    CHECK(lease.token(start + 1s) == 21U);
+}
--- /dev/null
+++ b/tests/serving/limits_test.cpp
@@ -0,0 +1,146 @@
+/** @file Tests of quotas and of the retry budget over all instances. */
+#include <daisylead/serving/quota_ledger_base.hpp>
+#include <daisylead/serving/retry_allowance_base.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <deque>
+#include <memory>
+#include <random>
+
+using namespace daisylead;
+using namespace std::chrono_literals;
+using namespace daisylead::serving;
+
+namespace
+{
+
+time_point const start = time_point(1000s);
+organisation_id const owner("museum");
+service_id const service("counter");
+
+} // namespace
+
+TEST_CASE("an organisation is refused over its limit, with a true time to wait")
+{
+    quota_ledger ledger(1s);
+    ledger.set_limit(owner, {100, 200}, start);
+    CHECK_FALSE(ledger.charge(owner, 200, start));
+    auto const wait = ledger.charge(owner, 50, start);
+    REQUIRE(wait);
+    CHECK(*wait == 500ms);
+    CHECK_FALSE(ledger.charge(owner, 50, start + *wait));
+}
+
+TEST_CASE("a refund makes room again, and no more than the burst")
+{
+    quota_ledger ledger(1s);
+    ledger.set_limit(owner, {100, 200}, start);
+    CHECK_FALSE(ledger.charge(owner, 200, start));
+    ledger.refund(owner, 200);
+    CHECK_FALSE(ledger.charge(owner, 200, start));
+}
+
+TEST_CASE("the use of peers is charged, also after their restart")
+{
+    quota_ledger ledger(1s);
+    ledger.set_limit(owner, {100, 200}, start);
+    instance_id const peer("p");
+    ledger.note_peer(peer, 7, {{owner, 5000}}, start);
+    // What a peer used before it was known may lie long ago.
+    CHECK_FALSE(ledger.charge(owner, 100, start));
+    ledger.note_peer(peer, 7, {{owner, 5060}}, start);
+    CHECK(ledger.charge(owner, 60, start));
+    // Its counts start anew, and its time of day may have been set back.
+    ledger.note_peer(peer, 3, {{owner, 30}}, start);
+    CHECK(ledger.charge(owner, 20, start));
+}
+
+TEST_CASE("a silent peer counts with its equal share of the rate")
+{
+    quota_ledger ledger(1s);
+    ledger.set_limit(owner, {100, 100}, start);
+    ledger.note_peer(instance_id("p"), 7, {}, start);
+    CHECK_FALSE(ledger.charge(owner, 100, start));
+    // Until it counts as silent, the whole rate refills the bucket; from then
+    // on half of it, since the peer may use the other half.
+    CHECK_FALSE(ledger.charge(owner, 100, start + 1s));
+    CHECK(ledger.charge(owner, 100, start + 2s).has_value());
+    CHECK_FALSE(ledger.charge(owner, 50, start + 2s));
+}
+
+TEST_CASE("instances with skewed traffic stay within the limit together")
+{
+    // Load: four times the rate over eight instances, most of it at two, news
+    // every 400 ms. In each window of 8 s the sum stays within 1.1 x (rate x 8
+    // + burst) + 110,000, the slack of the users' platform.
+    constexpr double rate = 250'000;
+    constexpr int instances = 8;
+    std::vector<std::unique_ptr<quota_ledger>> ledgers;
+    for (int i = 0; i < instances; ++i)
+    {
+        ledgers.push_back(std::make_unique<quota_ledger>(1300ms));
+        ledgers.back()->set_limit(owner, {rate, rate}, start);
+    }
+    std::mt19937 generator(3);
+    std::discrete_distribution<int> where({10, 10, 1, 1, 1, 1, 1, 1});
+    std::deque<std::pair<time_point, double>> used;
+    double in_window = 0;
+    double most = 0;
+    for (auto at = start; at < start + 30s; at += 10ms)
+    {
+        for (int i = 0; i < 10; ++i)
+        {
+            if (!ledgers[static_cast<std::size_t>(where(generator))]->charge(
+                    owner, 1000, at))
+            {
+                used.emplace_back(at, 1000);
+                in_window += 1000;
+            }
+        }
+        while (used.front().first + 8s <= at)
+        {
+            in_window -= used.front().second;
+            used.pop_front();
+        }
+        most = std::max(most, in_window);
+        if ((at - start) % 400ms == 0ms)
+        {
+            for (int from = 0; from < instances; ++from)
+            {
+                auto const use =
+                    ledgers[static_cast<std::size_t>(from)]->own_use();
+                for (int to = 0; to < instances; ++to)
+                {
+                    if (from != to)
+                    {
+                        ledgers[static_cast<std::size_t>(to)]->note_peer(
+                            instance_id(std::to_string(from)), 1, use, at);
+                    }
+                }
+            }
+        }
+    }
+    CHECK(most <= 1.1 * (rate * 8 + rate) + 110'000);
+    CHECK(most >= 0.9 * rate * 8);
+}
+
+TEST_CASE("repeated sends stay within the ratio and this instance's share")
+{
+    retry_allowance retries({0.2, 10, 10s});
+    retries.set_instances(5);
+    for (int i = 0; i < 10; ++i)
+    {
+        retries.note_request(service, start);
+    }
+    int taken = 0;
+    while (taken < 100 && retries.take(service, start + 1s))
+    {
+        ++taken;
+    }
+    CHECK(taken == 4);
+    CHECK_FALSE(retries.take(service, start + 9s));
+    // The requests have left the window, the repeats have not.
+    CHECK_FALSE(retries.take(service, start + 10500ms));
+    CHECK(retries.take(service, start + 11s));
+}
--- /dev/null
+++ b/tests/serving/rollout_planner_test.cpp
@@ -0,0 +1,160 @@
+/** @file Tests of taking engines to new weights. */
+#include <daisylead/serving/rollout_planner_base.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <map>
+
+using namespace daisylead;
+using namespace std::chrono_literals;
+using namespace daisylead::serving;
+
+namespace
+{
+
+time_point const start = time_point(1000s);
+
+/** Engines that empty themselves in a fixed time and load in another. */
+class fleet
+{
+public:
+    fleet(int count, duration empties_in)
+        : m_planner({}), m_empties_in(empties_in)
+    {
+        for (int i = 0; i < count; ++i)
+        {
+            m_engines.push_back(
+                {upstream_id("e" + std::to_string(i)), 1, 1, 7, 0ms});
+        }
+    }
+
+    /** Plays until all have the version.
+     *  @return the time that it took */
+    duration roll_out(std::int64_t version, time_point from)
+    {
+        m_planner.set_target(version);
+        time_point now = from;
+        for (; now < from + 60s; now += 50ms)
+        {
+            step(now, from);
+            if (std::all_of(m_engines.begin(), m_engines.end(),
+                            [version](rollout_engine const& item)
+                            { return item.m_version >= version; }))
+            {
+                break;
+            }
+        }
+        return now - from;
+    }
+
+    std::size_t m_most_out = 0;
+    std::size_t m_most_loading = 0;
+
+private:
+    void step(time_point now, time_point from)
+    {
+        std::size_t loading = 0;
+        for (rollout_engine& item : m_engines)
+        {
+            item.m_old_for = now - from;
+            auto const emptied = m_empty_at.find(item.m_id);
+            if (emptied != m_empty_at.end() && now >= emptied->second)
+            {
+                item.m_in_flight = 0;
+            }
+            auto const order = m_ordered.find(item.m_id);
+            if (order != m_ordered.end() && item.m_in_flight == 0)
+            {
+                ++loading;
+                order->second = std::max(order->second, now);
+                if (!m_done_at.contains(item.m_id))
+                {
+                    m_done_at[item.m_id] = now + 570ms;
+                }
+                if (now >= m_done_at[item.m_id])
+                {
+                    item.m_version = m_planner.target();
+                    item.m_in_flight = 7;
+                    m_ordered.erase(item.m_id);
+                    m_empty_at.erase(item.m_id);
+                    m_done_at.erase(item.m_id);
+                }
+            }
+        }
+        for (rollout_action const& action : m_planner.plan(m_engines, now))
+        {
+            if (action.m_step == rollout_step::empty)
+            {
+                m_empty_at[action.m_engine] = now + m_empties_in;
+            }
+            else if (action.m_step == rollout_step::order)
+            {
+                m_ordered[action.m_engine] = now;
+            }
+        }
+        m_most_loading = std::max(m_most_loading, loading);
+        m_most_out = std::max(m_most_out, m_empty_at.size());
+    }
+
+    rollout_planner m_planner;
+    duration m_empties_in;
+    std::vector<rollout_engine> m_engines;
+    std::map<upstream_id, time_point> m_empty_at;
+    std::map<upstream_id, time_point> m_ordered;
+    std::map<upstream_id, time_point> m_done_at;
+};
+
+} // namespace
+
+TEST_CASE("short requests: all engines have new weights well within 8 s, and "
+          "at least half of them serve all the while")
+{
+    fleet engines(18, 300ms);
+    CHECK(engines.roll_out(2, start) < 6s);
+    CHECK(engines.m_most_out <= 9);
+    CHECK(engines.m_most_loading <= 3);
+}
+
+TEST_CASE("long streams: all engines have new weights within 11 s, and at "
+          "least half of them serve all the while")
+{
+    // Guards against a rollout that took nine of twelve engines out of
+    // service, because engines that finish their streams blocked the loads.
+    fleet engines(12, 2000ms);
+    CHECK(engines.roll_out(2, start) < 11s);
+    CHECK(engines.m_most_out <= 6);
+}
+
+TEST_CASE("the engine with the oldest weights goes first")
+{
+    rollout_planner planner({});
+    planner.set_target(4);
+    std::vector<rollout_engine> engines;
+    for (int i = 0; i < 6; ++i)
+    {
+        engines.push_back(
+            {upstream_id("e" + std::to_string(i)), 1, 3, 0, 1s});
+    }
+    engines[5].m_version = 1;
+    engines[5].m_in_flight = 3;
+    auto const actions = planner.plan(engines, start);
+    REQUIRE_FALSE(actions.empty());
+    CHECK(actions.front().m_engine == upstream_id("e5"));
+}
+
+TEST_CASE("an engine with the target version is left alone, and a failed order "
+          "is repeated after a pause")
+{
+    rollout_planner planner({});
+    planner.set_target(2);
+    std::vector<rollout_engine> const engines = {
+        {upstream_id("e0"), 1, 2, 0, 0ms}, {upstream_id("e1"), 1, 1, 0, 0ms}};
+    auto const first = planner.plan(engines, start);
+    REQUIRE(first.size() == 2);
+    CHECK(first[1].m_engine == upstream_id("e1"));
+    CHECK(first[1].m_step == rollout_step::order);
+    planner.note_failed(upstream_id("e1"), start);
+    CHECK(planner.plan(engines, start + 100ms).empty());
+    CHECK_FALSE(planner.plan(engines, start + 400ms).empty());
+}
--- /dev/null
+++ b/tests/serving/stream_test.cpp
@@ -0,0 +1,76 @@
+/** @file Tests of cutting streams into events, and of look-up of routes. */
+#include <daisylead/serving/catalog_index_base.hpp>
+#include <daisylead/serving/event_cutter_base.hpp>
+
+#include <catch2/catch.hpp>
+
+using namespace daisylead;
+using namespace daisylead::serving;
+
+TEST_CASE("an event that was cut off never reaches the caller")
+{
+    event_cutter cutter;
+    CHECK(cutter.take("id: 1\ndata: a\n\nid: 2\nda") ==
+          "id: 1\ndata: a\n\n");
+    CHECK(cutter.last_id() == "1");
+    CHECK(cutter.has_partial());
+    cutter.drop_partial();
+    CHECK(cutter.take("id: 2\ndata: b\n\n") == "id: 2\ndata: b\n\n");
+    CHECK(cutter.last_id() == "2");
+}
+
+TEST_CASE("events that come byte by byte come out whole")
+{
+    event_cutter cutter;
+    std::string const stream = "id:7\r\ndata: x\r\n\r\nid: 8\ndata: y\n\n";
+    std::string out;
+    for (char const c : stream)
+    {
+        out += cutter.take(std::string(1, c));
+    }
+    CHECK(out == stream);
+    CHECK(cutter.last_id() == "8");
+    CHECK_FALSE(cutter.has_partial());
+}
+
+namespace
+{
+
+route make_route(char const* name, char const* host, char const* prefix)
+{
+    route item;
+    item.m_id = route_id(name);
+    item.m_host = host;
+    item.m_prefix = prefix;
+    item.m_split = {{service_id("s"), 1}};
+    return item;
+}
+
+} // namespace
+
+TEST_CASE("the longest prefix of the host decides")
+{
+    catalog content;
+    content.m_routes = {make_route("short", "a.example", "/x/"),
+                        make_route("long", "a.example", "/x/y/"),
+                        make_route("other", "b.example", "/x/y/z/")};
+    catalog_index const index(std::move(content));
+    CHECK(index.find_route("A.example:80", "/x/y/z/1")->m_id ==
+          route_id("long"));
+    CHECK(index.find_route("a.example", "/x/1")->m_id == route_id("short"));
+    CHECK(index.find_route("a.example", "/x") == nullptr);
+    CHECK(index.find_route("c.example", "/x/1") == nullptr);
+}
+
+TEST_CASE("only keys of the configuration in force have an owner")
+{
+    catalog content;
+    organisation owner;
+    owner.m_id = organisation_id("museum");
+    owner.m_keys = {"k1"};
+    content.m_organisations = {owner};
+    catalog_index const index(std::move(content));
+    CHECK(index.find_owner("k1")->m_id == organisation_id("museum"));
+    CHECK(index.find_owner("k2") == nullptr);
+    CHECK(index.find_owner("") == nullptr);
+}
--- /dev/null
+++ b/tests/serving/upstream_board_test.cpp
@@ -0,0 +1,209 @@
+/** @file Tests of the state of upstreams and the choice among them. */
+#include <daisylead/serving/upstream_board_base.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <map>
+#include <random>
+
+using namespace daisylead;
+using namespace std::chrono_literals;
+using namespace daisylead::serving;
+
+namespace
+{
+
+time_point const start = time_point(1000s);
+service_id const engines("engines");
+model_id const model("m");
+
+upstream_record make_engine(int number, std::int64_t version = 1)
+{
+    upstream_record record;
+    record.m_id = upstream_id("e" + std::to_string(number));
+    record.m_service = engines;
+    record.m_address = "10.0.0." + std::to_string(number) + ":80";
+    record.m_zone = zone_id(number % 2 == 0 ? "a" : "b");
+    record.m_slots = 48;
+    record.m_started = 5;
+    record.m_weights[model] = version;
+    return record;
+}
+
+std::vector<upstream_record> make_engines(int count, std::int64_t version = 1)
+{
+    std::vector<upstream_record> list;
+    for (int i = 0; i < count; ++i)
+    {
+        list.push_back(make_engine(i, version));
+    }
+    return list;
+}
+
+upstream_board make_board()
+{
+    return {{}, [generator = std::mt19937_64(7)]() mutable
+            { return generator(); }};
+}
+
+placement_question make_question()
+{
+    placement_question question;
+    question.m_service = engines;
+    question.m_model = model;
+    question.m_zone = zone_id("a");
+    return question;
+}
+
+} // namespace
+
+TEST_CASE("a leaving upstream gets no new request")
+{
+    upstream_board board = make_board();
+    std::vector<upstream_record> list = make_engines(2);
+    list[0].m_leaving = true;
+    board.take_list(list, start);
+    for (int i = 0; i < 20; ++i)
+    {
+        CHECK(board.place(make_question(), start).m_upstream.m_id ==
+              upstream_id("e1"));
+    }
+    list[1].m_leaving = true;
+    board.take_list(list, start + 500ms);
+    CHECK(board.place(make_question(), start + 500ms).m_reason ==
+          no_placement::no_upstream);
+}
+
+TEST_CASE("entries that lapsed during an outage of the store are kept for two "
+          "seconds, then they are gone")
+{
+    upstream_board board = make_board();
+    board.take_list(make_engines(2), start);
+    board.take_list({}, start + 8s);
+    CHECK(board.usable(engines).size() == 2);
+    board.take_list({make_engine(0)}, start + 9s);
+    CHECK(board.usable(engines).size() == 2);
+    board.take_list({make_engine(0)}, start + 10500ms);
+    CHECK(board.usable(engines).size() == 1);
+}
+
+TEST_CASE("an entry that goes while the store answers is gone at once")
+{
+    upstream_board board = make_board();
+    board.take_list(make_engines(2), start);
+    auto const [added, removed] =
+        board.take_list({make_engine(0)}, start + 500ms);
+    CHECK(added.empty());
+    CHECK(removed == std::vector{upstream_id("e1")});
+    CHECK(board.usable(engines).size() == 1);
+}
+
+TEST_CASE("each named version has its own deadline, however fast they follow")
+{
+    // Guards against engines that kept old weights because each new version
+    // started the time anew.
+    upstream_board board = make_board();
+    board.take_list({make_engine(0, 1)}, start);
+    board.set_newest(model, 2, start);
+    board.set_newest(model, 3, start + 3s);
+    board.set_newest(model, 4, start + 6s);
+    CHECK(board.place(make_question(), start + 6900ms).m_reason ==
+          no_placement::none);
+    CHECK(board.place(make_question(), start + 7100ms).m_reason ==
+          no_placement::no_upstream);
+    CHECK(board.old_for(upstream_id("e0"), model, start + 7s) == 7s);
+}
+
+TEST_CASE("engines on the newest weights are preferred after a moment")
+{
+    upstream_board board = make_board();
+    board.take_list({make_engine(0, 1), make_engine(1, 2)}, start);
+    board.set_newest(model, 2, start);
+    CHECK(board.place(make_question(), start + 2s).m_upstream.m_id ==
+          upstream_id("e1"));
+}
+
+TEST_CASE("an engine whose holder vanished does not stay marked as loading")
+{
+    upstream_board board = make_board();
+    board.take_list({make_engine(0)}, start);
+    board.note_weights({upstream_id("e0"), 5, model, 1, true}, start);
+    CHECK(board.place(make_question(), start + 1s).m_reason ==
+          no_placement::all_busy);
+    CHECK(board.place(make_question(), start + 1600ms).m_reason ==
+          no_placement::none);
+}
+
+TEST_CASE("news of an earlier life of an engine is ignored")
+{
+    upstream_board board = make_board();
+    board.take_list({make_engine(0)}, start);
+    board.note_weights({upstream_id("e0"), 4, model, 9, true}, start);
+    CHECK(board.place(make_question(), start).m_weights == 1);
+}
+
+TEST_CASE("an unreachable upstream is left out for a growing pause")
+{
+    upstream_board board = make_board();
+    board.take_list({make_engine(0)}, start);
+    board.note_unreachable(upstream_id("e0"), start);
+    CHECK(board.place(make_question(), start + 300ms).m_reason ==
+          no_placement::all_busy);
+    CHECK(board.place(make_question(), start + 500ms).m_reason ==
+          no_placement::none);
+    board.note_unreachable(upstream_id("e0"), start + 500ms);
+    CHECK(board.place(make_question(), start + 1200ms).m_reason ==
+          no_placement::all_busy);
+}
+
+TEST_CASE("requests with one prefix go to one engine until it is busy")
+{
+    upstream_board board = make_board();
+    board.take_list(make_engines(18), start);
+    placement_question question = make_question();
+    question.m_prefix = 4711;
+    question.m_prefix_tokens = token_count(6300);
+    upstream_id const home = board.place(question, start).m_upstream.m_id;
+    board.note_sent(home, question.m_prefix, token_count(9000));
+    CHECK(board.place(question, start).m_upstream.m_id == home);
+    for (int i = 0; i < 40; ++i)
+    {
+        board.note_sent(home, question.m_prefix, token_count(9000));
+    }
+    CHECK(board.place(question, start).m_upstream.m_id != home);
+}
+
+TEST_CASE("prompts are spread by the memory that they need")
+{
+    // Load: long prompts of which eleven fill an engine's memory, on top of
+    // short requests. Without the size, counts alone put them together.
+    upstream_board board = make_board();
+    board.take_list(make_engines(2), start);
+    for (int i = 0; i < 11; ++i)
+    {
+        board.note_sent(upstream_id("e0"), 0, token_count(9200));
+        board.note_first_bytes(upstream_id("e0"));
+    }
+    for (int i = 0; i < 20; ++i)
+    {
+        board.note_sent(upstream_id("e1"), 0, token_count(900));
+        board.note_first_bytes(upstream_id("e1"));
+    }
+    placement_question question = make_question();
+    question.m_tokens = token_count(9200);
+    question.m_capacity = token_count(106776);
+    CHECK(board.place(question, start).m_upstream.m_id == upstream_id("e1"));
+}
+
+TEST_CASE("requests of peers count, and leave with their peer")
+{
+    upstream_board board = make_board();
+    board.take_list(make_engines(1), start);
+    board.note_peer(instance_id("p"), {{upstream_id("e0"), 96, 1000}});
+    CHECK(board.place(make_question(), start).m_reason ==
+          no_placement::all_busy);
+    board.note_peer(instance_id("p"), {{upstream_id("e0"), 5, 50}});
+    CHECK(board.in_flight(upstream_id("e0")) == 5);
+    board.drop_peer(instance_id("p"));
+    CHECK(board.in_flight(upstream_id("e0")) == 0);
+}
