Fix: [Daemon] SIGHUP ended an instance, error answers without a reason phrase

Cause: SIGHUP had its default effect; every status line of an error said "Error".

Change: SIGHUP is ignored (the product's daemon reads its settings at start only); the status line has the usual phrase of its code.

Result: the new process test passes; the phrase has no test of its own.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -1,6 +1,7 @@
 /** @file HTTP server on RESTinio. */
 #include <daisylead/http/server_base.hpp>
 
+#include <http_parser.h>
 #include <restinio/all.hpp>
 #include <restinio/tls.hpp>
 
@@ -73,7 +74,7 @@
 restinio::http_status_line_t status_line(int status)
 {
     return {restinio::http_status_code_t(static_cast<std::uint16_t>(status)),
-            status < 400 ? "OK" : "Error"};
+            std::string(http_status_str(static_cast<http_status>(status)))};
 }
 
 /** Counts the bytes in flight of one response. */
--- a/src/programs/daisylead/main.cpp
+++ b/src/programs/daisylead/main.cpp
@@ -50,6 +50,8 @@
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
+    // Otherwise it would end the process; the settings are read at start only.
+    std::signal(SIGHUP, SIG_IGN);
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
     return signals;
--- a/tests/process/graceful_shutdown_test.cpp
+++ b/tests/process/graceful_shutdown_test.cpp
@@ -69,3 +69,16 @@
     }
     CHECK(fleet.member(0).process().wait(wait_time) == 0);
 }
+
+TEST_CASE("a hang-up signal does not end an instance")
+{
+    // Guards against a supervisor's reload, which ended the process.
+    fleet fleet;
+    fleet.add_engine();
+    fleet.start(1);
+    fleet.member(0).process().signal(SIGHUP);
+    CHECK_FALSE(fleet.member(0).process().wait(milliseconds(500)));
+    auto const served = fetch(fleet.member(0).caller(), "/v1/chat/completions",
+                              chat_body("a card", 3, false), museum_key());
+    CHECK(has_status(served, 200));
+}
