--- a/tests/telemetry/log_test.cpp
+++ b/tests/telemetry/log_test.cpp
@@ -56,6 +56,6 @@
     // 50,000 lines take well under a second to format; a blocked writer would
     // never end.
     CHECK(took < 20s);
-    CHECK(received > 100 * 200);
-    CHECK(received < 4'000 * 400);
+    CHECK(received > 20'000U);
+    CHECK(received < 1'600'000U);
 }
