--- a/src/entry/caller_session.cpp
+++ b/src/entry/caller_session.cpp
@@ -1,13 +1,12 @@
 /** @file Reads callers' requests from their connections. */
 #include "caller_session.hpp"
 
+#include "keep_running_func.hpp"
 #include "pause_func.hpp"
 
 #include <daisylead/base/error_type.hpp>
 #include <daisylead/telemetry/log_func.hpp>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/empty_body.hpp>
@@ -50,6 +49,28 @@
     return {400, failure.message()};
 }
 
+/** Counts something for as long as it lives. */
+class active_count
+{
+public:
+    explicit active_count(std::shared_ptr<std::size_t> count)
+        : m_count(std::move(count))
+    {
+        ++*m_count;
+    }
+
+    ~active_count()
+    {
+        --*m_count;
+    }
+
+    active_count(active_count const&) = delete;
+    active_count& operator=(active_count const&) = delete;
+
+private:
+    std::shared_ptr<std::size_t> m_count; ///< outlives the instance's state
+};
+
 /** Checks framing that the parser lets pass and that other servers may read
  *  differently. */
 bool is_framing_clear(http::request_header<> const& header)
@@ -100,7 +121,8 @@
 
 void caller_server::start()
 {
-    asio::co_spawn(m_executor, accept_loop(), asio::detached);
+    keep_running(m_executor, "accept_callers",
+                 [this] { return accept_loop(); });
 }
 
 awaitable<void> caller_server::accept_loop()
@@ -118,7 +140,8 @@
             continue;
         }
         auto caller = std::make_shared<caller_connection>(std::move(socket));
-        asio::co_spawn(m_executor, serve(std::move(caller)), asio::detached);
+        run_once(m_executor, "caller",
+                 [this, caller] { return serve(caller); });
     }
 }
 
@@ -147,6 +170,8 @@
                 break;
             }
         }
+        // From its first byte on, a request keeps this process running.
+        active_count const reading(m_state.m_active_requests);
         http::request_parser<http::string_body> parser;
         parser.header_limit(static_cast<std::uint32_t>(limits.m_max_header));
         parser.body_limit(limits.m_max_body);
@@ -248,7 +273,8 @@
 
 void text_server::start()
 {
-    asio::co_spawn(m_executor, accept_loop(), asio::detached);
+    keep_running(m_executor, "accept_checkers",
+                 [this] { return accept_loop(); });
 }
 
 awaitable<void> text_server::accept_loop()
@@ -263,8 +289,10 @@
             co_await pause(m_executor, accept_pause);
             continue;
         }
-        asio::co_spawn(m_executor, serve(beast::tcp_stream(std::move(socket))),
-                       asio::detached);
+        auto const connection =
+            std::make_shared<beast::tcp_stream>(std::move(socket));
+        run_once(m_executor, "checker",
+                 [this, connection] { return serve(std::move(*connection)); });
     }
 }
 
--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -2,14 +2,13 @@
 #include <daisylead/entry/entry_instance_base.hpp>
 
 #include "caller_session.hpp"
+#include "keep_running_func.hpp"
 #include "order_giver.hpp"
 #include "pause_func.hpp"
 #include "store_follower.hpp"
 
 #include <daisylead/telemetry/log_func.hpp>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -93,14 +92,32 @@
         m_readiness.start();
         m_reports.start();
         m_callers.start();
-        asio::co_spawn(m_context, signal_loop(), asio::detached);
-        asio::co_spawn(m_context, settings_loop(), asio::detached);
-        m_context.run();
+        auto const executor = m_context.get_executor();
+        keep_running(executor, "signals", [this] { return signal_loop(); });
+        keep_running(executor, "settings", [this] { return settings_loop(); });
+        run_context();
         telemetry::log(severity::info, "stopped",
-                       {{"active_requests", m_state.m_active_requests}});
+                       {{"active_requests", *m_state.m_active_requests}});
     }
 
 private:
+    /** Handlers outside of tasks may throw as well. */
+    void run_context()
+    {
+        while (!m_context.stopped())
+        {
+            try
+            {
+                m_context.run();
+            }
+            catch (std::exception const& failure)
+            {
+                telemetry::log(severity::error, "handler_failed",
+                               {{"error", failure.what()}});
+            }
+        }
+    }
+
     std::pair<int, std::string> readiness(std::string const& path)
     {
         if (path != m_calls.m_ready_path)
@@ -154,9 +171,10 @@
             m_state.m_draining = true;
             telemetry::log(severity::info, "draining",
                            {{"signal", signal},
-                            {"active_requests", m_state.m_active_requests}});
+                            {"active_requests", *m_state.m_active_requests}});
             m_exchange.hurry();
-            asio::co_spawn(m_context, drain(), asio::detached);
+            keep_running(m_context.get_executor(), "drain",
+                         [this] { return drain(); });
         }
     }
 
@@ -167,7 +185,7 @@
         for (;;)
         {
             duration const since = boot_time() - began;
-            bool const idle = m_state.m_active_requests == 0;
+            bool const idle = *m_state.m_active_requests == 0;
             if (since > close_idle_after && !closed)
             {
                 closed = true;
--- a/src/entry/fleet_exchange.cpp
+++ b/src/entry/fleet_exchange.cpp
@@ -1,10 +1,10 @@
 /** @file News between the entry instances. */
 #include "fleet_exchange.hpp"
 
+#include "keep_running_func.hpp"
+
 #include <daisylead/telemetry/log_func.hpp>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -89,7 +89,7 @@
 
 void fleet_exchange::start()
 {
-    asio::co_spawn(m_executor, send_loop(), asio::detached);
+    keep_running(m_executor, "news", [this] { return send_loop(); });
 }
 
 serving::fleet_news fleet_exchange::make_news(serving::peer_state const* peer)
--- a/src/entry/fleet_state.cpp
+++ b/src/entry/fleet_state.cpp
@@ -547,7 +547,7 @@
             {"configuration_age_ms", age ? milliseconds_of(*age) : -1.0},
             {"ready", is_ready(now)},
             {"draining", m_draining},
-            {"active_requests", m_active_requests},
+            {"active_requests", *m_active_requests},
             {"relay", m_roster.is_relay(now)},
             {"reports_to", m_roster.relay().value()},
             {"fleet_size", m_roster.fleet_size(now)},
--- a/src/entry/fleet_state.hpp
+++ b/src/entry/fleet_state.hpp
@@ -144,7 +144,10 @@
     std::optional<time_point> m_kv_store_seen; ///< its last answer
     std::function<void()> m_on_urgent;         ///< news must not wait
     bool m_draining = false;
-    std::size_t m_active_requests = 0;
+    /** Requests of which the first byte came and the answer has not ended;
+     *  shared with the connections, which may end later than this state. */
+    std::shared_ptr<std::size_t> m_active_requests =
+        std::make_shared<std::size_t>(0);
     boost::asio::any_io_executor m_executor; ///< of the instance's thread
 
 private:
--- a/src/entry/http_connection.cpp
+++ b/src/entry/http_connection.cpp
@@ -144,6 +144,7 @@
         }
         if (status() >= 200)
         {
+            ++m_answers;
             co_return call_step::ok;
         }
     }
--- a/src/entry/http_connection.hpp
+++ b/src/entry/http_connection.hpp
@@ -59,6 +59,12 @@
         return m_parser->get();
     }
 
+    /** @return final answers whose header came on this connection. */
+    int answers() const
+    {
+        return m_answers;
+    }
+
     /** @return the status after read_header(). */
     int status() const
     {
@@ -110,6 +116,7 @@
     std::optional<http::response_parser<http::buffer_body>> m_parser;
     bool m_sending = false;
     bool m_sent = false;
+    int m_answers = 0;
     bool m_broken = false;
     char m_chunk[8192];
 };
--- a/src/entry/order_giver.cpp
+++ b/src/entry/order_giver.cpp
@@ -1,12 +1,11 @@
 /** @file Orders to engines to load the newest weights. */
 #include "order_giver.hpp"
 
+#include "keep_running_func.hpp"
 #include "pause_func.hpp"
 
 #include <daisylead/telemetry/log_func.hpp>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -73,7 +72,7 @@
 
 void order_giver::start()
 {
-    asio::co_spawn(m_executor, loop(), asio::detached);
+    keep_running(m_executor, "orders", [this] { return loop(); });
 }
 
 std::vector<serving::upstream_record>
@@ -291,8 +290,9 @@
         serving::upstream_record const& engine = found->second;
         if (action.m_step == serving::rollout_step::order)
         {
-            asio::co_spawn(m_executor, load(engine, model, action.m_version),
-                           asio::detached);
+            run_once(m_executor, "weights_order",
+                     [this, engine, model, version = action.m_version]
+                     { return load(engine, model, version); });
         }
         else
         {
--- a/src/entry/request_attempt.cpp
+++ b/src/entry/request_attempt.cpp
@@ -29,7 +29,10 @@
 constexpr int max_unreachable = 4;
 
 /** Largest body of an answer that is not a stream. */
-constexpr std::size_t max_answer = 16 << 20;
+constexpr std::size_t max_answer = 4 << 20;
+
+/** Largest event of a stream; upstreams send a few tokens in each. */
+constexpr std::size_t max_event = 256 << 10;
 
 /** Late answers of earlier requests that are skipped on a kept connection. */
 constexpr int max_late_answers = 2;
@@ -183,8 +186,12 @@
             break;
         }
         facts = m_state.m_calls.m_read_answer(m_upstream->header());
-        if (facts.m_request_id.empty() ||
-            facts.m_request_id == m_description.m_id)
+        // On a kept connection, an answer without an id may be a late one for
+        // an earlier request.
+        bool const is_own =
+            facts.m_request_id == m_description.m_id ||
+            (facts.m_request_id.empty() && m_upstream->answers() == 1);
+        if (is_own)
         {
             break;
         }
@@ -386,7 +393,6 @@
                 ? after_timeout()
                 : after_failure(true, "stream_broke_off");
         }
-        m_watch->note_bytes();
         bool const ended = bytes.empty();
         if (ended && m_cutter.has_partial() && ends_with_connection)
         {
@@ -395,6 +401,16 @@
         }
         std::string const whole =
             ended ? m_cutter.partial() : m_cutter.take(bytes);
+        // Bytes that never complete an event are no progress.
+        if (!whole.empty())
+        {
+            m_watch->note_bytes();
+        }
+        if (m_cutter.partial().size() > max_event)
+        {
+            upstream.abort();
+            co_return after_failure(true, "event_too_long");
+        }
         if ((!whole.empty() || ended) && !m_stream_begun)
         {
             m_status = status;
--- a/src/entry/request_runner.cpp
+++ b/src/entry/request_runner.cpp
@@ -67,7 +67,6 @@
     m_deadline = m_began;
     m_description = m_state.m_calls.m_describe(m_request.base());
     m_last_close = m_state.m_draining || !m_request.keep_alive();
-    ++m_state.m_active_requests;
     m_refusal = check();
     if (!m_refusal)
     {
@@ -107,7 +106,6 @@
         m_end = "caller_left";
     }
     m_caller->stop_watching();
-    --m_state.m_active_requests;
     log_end();
     co_return !m_last_close && !m_caller->is_gone();
 }
--- a/src/entry/silence_guard.cpp
+++ b/src/entry/silence_guard.cpp
@@ -2,13 +2,11 @@
 #include "silence_guard.hpp"
 
 #include "http_connection.hpp"
+#include "keep_running_func.hpp"
 #include "pause_func.hpp"
 
 #include <daisylead/telemetry/log_func.hpp>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -46,7 +44,7 @@
 
 void silence_guard::start()
 {
-    boost::asio::co_spawn(m_executor, loop(), boost::asio::detached);
+    keep_running(m_executor, "silence", [this] { return loop(); });
 }
 
 awaitable<void> silence_guard::loop()
@@ -82,9 +80,9 @@
             break;
         case serving::silence_verdict::probe:
             times.m_probed = now;
-            boost::asio::co_spawn(m_executor,
-                                  probe(item.m_upstream, item.m_address),
-                                  boost::asio::detached);
+            run_once(m_executor, "silence_probe",
+                     [this, id = item.m_upstream, address = item.m_address]
+                     { return probe(id, address); });
             break;
         case serving::silence_verdict::end:
             telemetry::log(severity::warning, "silent_attempt_ended",
--- a/src/entry/store_follower.cpp
+++ b/src/entry/store_follower.cpp
@@ -1,12 +1,11 @@
 /** @file Reads configuration and service discovery from the store. */
 #include "store_follower.hpp"
 
+#include "keep_running_func.hpp"
 #include "pause_func.hpp"
 
 #include <daisylead/telemetry/log_func.hpp>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -80,9 +79,6 @@
 /** Step in which a lack of peers is looked for. */
 constexpr std::chrono::milliseconds lonely_step = 2s;
 
-/** The same while no peer is known. */
-constexpr std::chrono::milliseconds lonely_interval = 1s;
-
 } // namespace
 
 store_follower::store_follower(asio::any_io_executor const& executor,
@@ -93,10 +89,10 @@
 
 void store_follower::start()
 {
-    asio::co_spawn(m_executor, rules_loop(), asio::detached);
-    asio::co_spawn(m_executor, upstreams_loop(), asio::detached);
-    asio::co_spawn(m_executor, members_loop(), asio::detached);
-    asio::co_spawn(m_executor, kv_store_loop(), asio::detached);
+    keep_running(m_executor, "rules", [this] { return rules_loop(); });
+    keep_running(m_executor, "upstreams", [this] { return upstreams_loop(); });
+    keep_running(m_executor, "members", [this] { return members_loop(); });
+    keep_running(m_executor, "kv_store", [this] { return kv_store_loop(); });
 }
 
 duration store_follower::read_age(time_point now) const
--- a/tests/entry/entry_test.cpp
+++ b/tests/entry/entry_test.cpp
@@ -353,3 +353,188 @@
     CHECK(status("/nowhere/", "") == "HTTP/1.1 503");
     CHECK(status("/again/x", "") == "HTTP/1.1 200");
 }
+
+TEST_CASE("a late second copy on a kept connection goes to no other caller")
+{
+    // Guards against the next caller getting an answer that is not its own:
+    // the copy comes after the next request was sent, with and without an id.
+    for (bool const has_id : {true, false})
+    {
+        scripted_upstream upstream(
+            [has_id](served_connection& connection)
+            {
+                connection.read_request();
+                connection.write(make_answer("200 OK", "Seal: s\r\n", "first"));
+                connection.read_request();
+                std::string copy =
+                    make_answer("200 OK", "Seal: s\r\n", "first");
+                if (!has_id)
+                {
+                    copy.erase(copy.find("Id: a1\r\n"), 8);
+                }
+                std::string own =
+                    make_answer("200 OK", "Seal: s\r\n", "second");
+                own.replace(own.find("Id: a1"), 6, "Id: b2");
+                connection.write(copy + own);
+                connection.read_request();
+            });
+        running_instance instance(make_catalog(),
+                                  {make_upstream("u1", upstream.address())});
+        CHECK(starts_with(
+            instance.exchange(make_request("GET", "/again/x"), 200ms),
+            "HTTP/1.1 200"));
+        std::string next = make_request("GET", "/again/y");
+        next.replace(next.find("Id: a1"), 6, "Id: b2");
+        std::string const answer = instance.exchange(next, 300ms);
+        INFO(answer);
+        CHECK(answer.find("second") != std::string::npos);
+        CHECK(answer.find("first") == std::string::npos);
+        CHECK(upstream.connections() == 1);
+    }
+}
+
+TEST_CASE("an upstream that says that it leaves gets no further request")
+{
+    scripted_upstream leaving(
+        [](served_connection& connection)
+        {
+            while (!connection.read_request().empty())
+            {
+                connection.write(
+                    make_answer("200 OK", "Seal: s\r\nLeaving: 1\r\n", "old"));
+            }
+        });
+    running_instance instance(make_catalog(),
+                              {make_upstream("u1", leaving.address())});
+    CHECK(starts_with(instance.exchange(make_request("GET", "/again/x"), 200ms),
+                      "HTTP/1.1 200"));
+    // It is the only one: a refusal is better than a request to it.
+    CHECK(starts_with(instance.exchange(make_request("GET", "/again/y"), 200ms),
+                      "HTTP/1.1 503"));
+    CHECK(leaving.connections() == 1);
+}
+
+TEST_CASE("an upstream that asks for a pause gets no request in that time")
+{
+    scripted_upstream full(
+        [](served_connection& connection)
+        {
+            while (!connection.read_request().empty())
+            {
+                connection.write(make_answer(
+                    "503 Busy", "Not-Run: 1\r\nRetry-After: 2\r\n", ""));
+            }
+        });
+    running_instance instance(make_catalog(),
+                              {make_upstream("u1", full.address())});
+    auto const began = std::chrono::steady_clock::now();
+    for (int i = 0; i < 3; ++i)
+    {
+        CHECK(starts_with(
+            instance.exchange(make_request("GET", "/again/x"), 200ms),
+            "HTTP/1.1 503"));
+    }
+    REQUIRE(std::chrono::steady_clock::now() - began < 1900ms);
+    CHECK(full.connections() == 1);
+}
+
+TEST_CASE("bytes without end that are no answer take bounded memory and time")
+{
+    // In a header, in the body of an answer, and in an event of a stream.
+    for (std::string const begin :
+         {"HTTP/1.1 200 OK\r\nX: ",
+          "HTTP/1.1 200 OK\r\nId: a1\r\nSeal: s\r\n\r\n",
+          "HTTP/1.1 200 OK\r\nId: a1\r\nSeal: s\r\n\r\ndata: "})
+    {
+        std::atomic<std::size_t> written = 0;
+        scripted_upstream endless(
+            [&](served_connection& connection)
+            {
+                connection.read_request();
+                connection.write(begin);
+                std::string const block(65536, 'x');
+                while (written < (64U << 20U) &&
+                       !connection.wait_for_close(0ms))
+                {
+                    connection.write(block);
+                    written += block.size();
+                }
+            });
+        running_instance instance(make_catalog(),
+                                  {make_upstream("u1", endless.address())});
+        std::string const path =
+            begin.ends_with("data: ") ? "/stream/x" : "/once/x";
+        std::string const answer =
+            instance.exchange(make_request("GET", path), 1500ms);
+        INFO(begin << " -> " << answer.substr(0, 200));
+        CHECK((answer.empty() || starts_with(answer, "HTTP/1.1 502")));
+        CHECK(written < (32U << 20U));
+    }
+}
+
+TEST_CASE("a stream that sends a byte now and then does not count as progress")
+{
+    // Guards against a stalled stream that holds its caller until the deadline;
+    // the other upstream serves it.
+    scripted_upstream stalled(
+        [](served_connection& connection)
+        {
+            connection.read_request();
+            connection.write("HTTP/1.1 200 OK\r\nId: a1\r\nSeal: s\r\n\r\n");
+            for (int i = 0; i < 40 && !connection.wait_for_close(100ms); ++i)
+            {
+                connection.write("d");
+            }
+        });
+    scripted_upstream sound(
+        [](served_connection& connection)
+        {
+            connection.read_request();
+            connection.write("HTTP/1.1 200 OK\r\nId: a1\r\nSeal: s\r\n\r\n");
+            for (int i = 1; i <= 3; ++i)
+            {
+                connection.write("id: " + std::to_string(i) +
+                                 "\ndata: sound\n\n");
+                connection.wait_for_close(400ms);
+            }
+        });
+    serving::catalog catalog = make_catalog();
+    for (serving::route& route : catalog.m_routes)
+    {
+        route.m_timeout = 6000ms;
+        route.m_target_latency = 300ms;
+    }
+    running_instance instance(catalog, {make_upstream("u1", stalled.address()),
+                                        make_upstream("u2", sound.address())});
+    for (int i = 0; i < 4; ++i)
+    {
+        std::string const answer =
+            instance.exchange(make_request("GET", "/stream/x"), 2500ms);
+        INFO(answer);
+        // A slow but sound stream is not cut.
+        CHECK(answer.find("id: 3\ndata: sound") != std::string::npos);
+    }
+}
+
+TEST_CASE("a request whose body still comes at a stop is answered")
+{
+    // Guards against a planned stop that cuts off what was just accepted.
+    scripted_upstream upstream(
+        [](served_connection& connection)
+        {
+            connection.read_request();
+            connection.write(make_answer("200 OK", "Seal: s\r\n", "done"));
+            connection.wait_for_close(1s);
+        });
+    running_instance instance(make_catalog(),
+                              {make_upstream("u1", upstream.address())});
+    std::string const request =
+        make_request("POST", "/once/x", "", "0123456789");
+    std::string const answer = instance.exchange_in_parts(
+        request.substr(0, request.size() - 5), [] { std::raise(SIGTERM); },
+        3400ms, request.substr(request.size() - 5));
+    INFO(answer);
+    CHECK(starts_with(answer, "HTTP/1.1 "));
+    CHECK((answer.find("done") != std::string::npos ||
+           starts_with(answer, "HTTP/1.1 503")));
+}
--- a/tests/entry/stand_in.cpp
+++ b/tests/entry/stand_in.cpp
@@ -161,6 +161,13 @@
     facts.m_request_id = value_of(header, "Id");
     facts.m_sealed = header.count("Seal") != 0;
     facts.m_not_run = header.count("Not-Run") != 0;
+    facts.m_leaving = header.count("Leaving") != 0;
+    if (std::string const pause = value_of(header, "Retry-After");
+        !pause.empty())
+    {
+        facts.m_retry_after = std::chrono::milliseconds(
+            static_cast<std::int64_t>(std::stod(pause) * 1000));
+    }
     return facts;
 }
 
@@ -308,6 +315,31 @@
     return answer;
 }
 
+std::string running_instance::exchange_in_parts(
+    std::string const& first, std::function<void()> const& between,
+    std::chrono::milliseconds pause, std::string const& rest)
+{
+    int const descriptor = connect_to(m_settings.m_caller_address);
+    send_all(descriptor, first);
+    std::this_thread::sleep_for(100ms);
+    between();
+    std::this_thread::sleep_for(pause);
+    send_all(descriptor, rest);
+    std::string answer;
+    while (is_readable(descriptor, 1000ms))
+    {
+        char part[4096];
+        ssize_t const size = ::recv(descriptor, part, sizeof part, 0);
+        if (size <= 0)
+        {
+            break;
+        }
+        answer.append(part, static_cast<std::size_t>(size));
+    }
+    ::close(descriptor);
+    return answer;
+}
+
 void running_instance::send_and_leave(std::string const& bytes,
                                       std::chrono::milliseconds after)
 {
--- a/tests/entry/stand_in.hpp
+++ b/tests/entry/stand_in.hpp
@@ -92,6 +92,13 @@
     exchange(std::string const& bytes,
              std::chrono::milliseconds quiet = std::chrono::milliseconds(700));
 
+    /** Sends a request in two parts with something between them, and reads the
+     *  answer. */
+    std::string exchange_in_parts(std::string const& first,
+                                  std::function<void()> const& between,
+                                  std::chrono::milliseconds pause,
+                                  std::string const& rest);
+
     /** Sends bytes and leaves. */
     void send_and_leave(std::string const& bytes,
                         std::chrono::milliseconds after);
--- a/tests/serving/fleet_play_test.cpp
+++ b/tests/serving/fleet_play_test.cpp
@@ -483,8 +483,8 @@
         std::int64_t const most = relay ? 60 * 4 : 4 * 4;
         CHECK(fleet.m_calls_by[i] <= most);
     }
-    CHECK(relays >= zones * 2);
-    CHECK(relays <= zones * 4);
+    CHECK(relays >= std::int64_t{zones} * 2);
+    CHECK(relays <= std::int64_t{zones} * 4);
     CHECK(fleet.at(299).m_roster.fleet_size(fleet.m_now) == 300);
 }
 
