--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -83,6 +83,38 @@
     CHECK(platform::decode_upstreams(rows.dump()).size() == 1);
 }
 
+TEST_CASE("a row that is no object at all ends nothing")
+{
+    // Guards against an exception that leaves the decoder.
+    json const rows = {
+        {"rows", json::array({7,
+                              nullptr,
+                              json::array({1}),
+                              "row",
+                              {{"key", 3}},
+                              make_row("i-1", make_server().dump())})}};
+    CHECK(platform::decode_upstreams(rows.dump()).size() == 1);
+}
+
+TEST_CASE("an answer that says that its server leaves or wants a pause is read")
+{
+    entry::response_header header;
+    header.result(boost::beast::http::status::service_unavailable);
+    header.set("Server-Leaving", "1");
+    header.set("Retry-After", "0.25");
+    auto const facts = platform::read_answer(header);
+    CHECK(facts.m_leaving);
+    REQUIRE(facts.m_retry_after);
+    CHECK(*facts.m_retry_after == std::chrono::milliseconds(250));
+    header.set("Retry-After", "soon");
+    CHECK_FALSE(platform::read_answer(header).m_retry_after);
+    header.set("Retry-After", "0.25");
+    header.result(boost::beast::http::status::ok);
+    header.erase("Server-Leaving");
+    CHECK_FALSE(platform::read_answer(header).m_retry_after);
+    CHECK_FALSE(platform::read_answer(header).m_leaving);
+}
+
 TEST_CASE("the operator's rows become a catalog")
 {
     json const configuration = json::parse(R"({"version":7,
