Change: [Serving] unused setter removed, one place that bounds a peer's group, one reader in tests

The number of instances that a peer speaks for was bounded in one of two ways into quota_ledger, so a message with a group of 0 or less reached the sums; note_peer now bounds it for both. The two loops that read a caller's answer in the entry stand-in are one.

--- a/include/daisylead/serving/fleet_roster_base.hpp
+++ b/include/daisylead/serving/fleet_roster_base.hpp
@@ -115,9 +115,6 @@
     member_change note_member(member const& item, bool from_itself,
                               time_point now);
 
-    /** The instance has other settings than before. */
-    void set_self(member self);
-
     /** A peer called.
      *  @pre note_member() was called for it
      *  @return what it is to this instance from now on */
--- a/src/entry/fleet_exchange.cpp
+++ b/src/entry/fleet_exchange.cpp
@@ -274,9 +274,8 @@
     if (auto const use = m_state.use_from(news.m_use))
     {
         serving::use_source source;
-        source.m_instances = relation == peer_relation::upward
-                                 ? std::max<std::int64_t>(1, news.m_fleet - 1)
-                                 : news.m_group;
+        source.m_instances =
+            relation == peer_relation::upward ? news.m_fleet - 1 : news.m_group;
         source.m_forwards = in_group;
         if (in_group && !news.m_told.m_totals.empty())
         {
--- a/src/serving/fleet_roster.cpp
+++ b/src/serving/fleet_roster.cpp
@@ -58,12 +58,6 @@
 {
 }
 
-void fleet_roster::set_self(member self)
-{
-    m_self = std::move(self);
-    m_orders.clear();
-}
-
 peer_state* fleet_roster::find(instance_id const& id)
 {
     auto const found = m_peers.find(id);
--- a/src/serving/quota_ledger.cpp
+++ b/src/serving/quota_ledger.cpp
@@ -148,7 +148,8 @@
     {
         known.m_use.clear();
     }
-    known.m_source = {source.m_instances, source.m_forwards, std::nullopt};
+    known.m_source = {std::max<std::int64_t>(1, source.m_instances),
+                      source.m_forwards, std::nullopt};
     bool const has_told = added && source.m_told;
     if (has_told)
     {
--- a/tests/entry/stand_in.cpp
+++ b/tests/entry/stand_in.cpp
@@ -107,6 +107,24 @@
                : std::stoul(header.substr(at + name.size()));
 }
 
+/** Reads until the other side closes or is silent, and closes. */
+std::string read_until_quiet(int descriptor, std::chrono::milliseconds quiet)
+{
+    std::string answer;
+    while (is_readable(descriptor, quiet))
+    {
+        char part[4096];
+        ssize_t const size = ::recv(descriptor, part, sizeof part, 0);
+        if (size <= 0)
+        {
+            break;
+        }
+        answer.append(part, static_cast<std::size_t>(size));
+    }
+    ::close(descriptor);
+    return answer;
+}
+
 /** Peers are no part of these tests. */
 class no_transport : public peer::transport
 {
@@ -300,19 +318,7 @@
 {
     int const descriptor = connect_to(m_settings.m_caller_address);
     send_all(descriptor, bytes);
-    std::string answer;
-    while (is_readable(descriptor, quiet))
-    {
-        char part[4096];
-        ssize_t const size = ::recv(descriptor, part, sizeof part, 0);
-        if (size <= 0)
-        {
-            break;
-        }
-        answer.append(part, static_cast<std::size_t>(size));
-    }
-    ::close(descriptor);
-    return answer;
+    return read_until_quiet(descriptor, quiet);
 }
 
 std::string running_instance::exchange_in_parts(
@@ -325,19 +331,7 @@
     between();
     std::this_thread::sleep_for(pause);
     send_all(descriptor, rest);
-    std::string answer;
-    while (is_readable(descriptor, 1000ms))
-    {
-        char part[4096];
-        ssize_t const size = ::recv(descriptor, part, sizeof part, 0);
-        if (size <= 0)
-        {
-            break;
-        }
-        answer.append(part, static_cast<std::size_t>(size));
-    }
-    ::close(descriptor);
-    return answer;
+    return read_until_quiet(descriptor, 1000ms);
 }
 
 void running_instance::send_and_leave(std::string const& bytes,
