Add: [Entry] read, record and log the request rate that an upstream states

Cause: logs and metrics could not tell whether the rate in an answer is not read, or read and obeyed by each instance alone; no line, counter or dump mentioned it.

Ruled out: reading it from the arrivals; at 0.2 requests a second from an instance to an engine a rate of 1 never binds one instance, so both look the same.

Change: the adapter reads the field of an answer; `upstream_rate` is logged when a rate appears, ends or changes by a tenth; attempts carry the rate known when the upstream was chosen; two counters; the state dump shows the rate. An answer without a rate ends it only if it is sealed and its request was sent after the rate was stated. No decision depends on it yet.

--- a/include/daisylead/entry/adapter_type.hpp
+++ b/include/daisylead/entry/adapter_type.hpp
@@ -49,6 +49,9 @@
     bool m_leaving = false;     ///< upstream shuts down, takes no new work
     /** The upstream must get no request for this long. */
     std::optional<std::chrono::milliseconds> m_retry_after;
+    /** Requests per second that the upstream takes from all instances together;
+     *  nothing: not limited. */
+    std::optional<double> m_rate_limit;
 };
 
 /** State that an engine reports about itself. */
--- a/include/daisylead/serving/upstream_pool_base.hpp
+++ b/include/daisylead/serving/upstream_pool_base.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <daisylead/serving/catalog_type.hpp>
+#include <daisylead/serving/upstream_rates_base.hpp>
 
 #include <array>
 #include <functional>
@@ -99,6 +100,8 @@
     duration m_cost{};            ///< estimated cost
     std::size_t m_candidates = 0; ///< number of upstreams compared
     std::int64_t m_in_flight = 0; ///< requests at it, of all instances
+    /** Its request rate limit, if one is known. */
+    std::optional<double> m_rate_limit;
 };
 
 /** Weights of an engine, as reported by the holder of the order lease. */
@@ -205,6 +208,22 @@
      *  then. */
     void note_rejected_until(upstream_id const& id, time_point until);
 
+    /** Records the request rate limit of an upstream, see upstream_rates.
+     *  @param started start of the run that stated it, Unix ms
+     *  @return whether a limit appeared, ended or changed noticeably */
+    bool note_rate(rate_statement const& statement, std::int64_t started);
+
+    /** @return known request rate limits. */
+    upstream_rates& rates()
+    {
+        return m_rates;
+    }
+
+    upstream_rates const& rates() const
+    {
+        return m_rates;
+    }
+
     /** Replaces the requests in flight of a peer.
      *  @param in_group this instance includes them in its own counts */
     void note_peer(instance_id const& peer, in_flight_counts counts,
@@ -321,6 +340,7 @@
     std::unordered_map<service_id, std::vector<upstream_id>> m_by_service;
     std::unordered_map<model_id, named_versions> m_named;
     std::unordered_map<instance_id, peer_load> m_peers;
+    upstream_rates m_rates;
     std::optional<time_point> m_read_at;
     std::optional<time_point> m_grace_until;
 };
--- a/src/entry/fleet_state.cpp
+++ b/src/entry/fleet_state.cpp
@@ -407,6 +407,23 @@
     }
 }
 
+void fleet_state::note_rate(serving::rate_statement const& statement,
+                            std::int64_t started, instance_id const& from)
+{
+    if (!m_upstream_pool.note_rate(statement, started))
+    {
+        return;
+    }
+    m_metrics.count("daisylead_upstream_rate_changes_total");
+    telemetry::log(severity::info, "upstream_rate",
+                   {{"upstream", statement.m_upstream.value()},
+                    {"limited", statement.m_per_second.has_value()},
+                    {"per_second", statement.m_per_second.value_or(0)},
+                    {"stated_ms_ago",
+                     milliseconds_of(boot_time() - statement.m_stated_at)},
+                    {"source", from.empty() ? "answer" : from.value()}});
+}
+
 void fleet_state::note_suspects(std::vector<request::quarantine_update> news)
 {
     for (request::quarantine_update const& item : news)
@@ -548,6 +565,8 @@
                     {{"id", record.m_id.value()},
                      {"service", service.m_id.value()},
                      {"in_flight", m_upstream_pool.in_flight(record.m_id)},
+                     {"rate_limit",
+                      m_upstream_pool.rates().limit(record.m_id).value_or(-1)},
                      {"switching",
                       m_upstream_pool.is_switching(record.m_id, now)}});
             }
--- a/src/entry/fleet_state.hpp
+++ b/src/entry/fleet_state.hpp
@@ -102,6 +102,13 @@
     void note_leaving(serving::leaving_upstream const& item,
                       instance_id const& from);
 
+    /** Records the request rate limit of an upstream.
+     *  @param started start of the run that stated it, Unix ms
+     *  @param from peer that reported it; empty: this instance saw the
+     *  answer */
+    void note_rate(serving::rate_statement const& statement,
+                   std::int64_t started, instance_id const& from);
+
     /** Logs news of suspect requests and queues it for the peers. */
     void note_suspects(std::vector<request::quarantine_update> news);
 
--- a/src/entry/request_attempt.cpp
+++ b/src/entry/request_attempt.cpp
@@ -259,6 +259,18 @@
         {
             m_state.note_leaving({id, place.m_upstream.m_started}, {});
         }
+        if (info.m_rate_limit)
+        {
+            m_state.note_rate({id, info.m_rate_limit, boot_time()},
+                              place.m_upstream.m_started, {});
+        }
+        else if (info.m_sealed)
+        {
+            // Only an answer to a request that was sent after the limit was
+            // stated shows that the limit has ended.
+            m_state.note_rate({id, std::nullopt, began},
+                              place.m_upstream.m_started, {});
+        }
         if (info.m_retry_after)
         {
             m_state.m_upstream_pool.note_rejected_until(
--- a/src/entry/request_runner.cpp
+++ b/src/entry/request_runner.cpp
@@ -444,16 +444,23 @@
                                   std::string outcome, time_point began)
 {
     m_state.m_metrics.count("daisylead_attempts_total", {{"outcome", outcome}});
-    m_attempts.push_back(
-        {{"upstream", place.m_upstream.m_id.value()},
-         {"outcome", std::move(outcome)},
-         {"ms", std::chrono::duration_cast<std::chrono::milliseconds>(
-                    boot_time() - began)
-                    .count()},
-         {"weights", place.m_weights},
-         {"in_flight", place.m_in_flight},
-         {"candidates", place.m_candidates},
-         {"cached", place.m_likely_cached}});
+    nlohmann::json entry = {
+        {"upstream", place.m_upstream.m_id.value()},
+        {"outcome", std::move(outcome)},
+        {"ms", std::chrono::duration_cast<std::chrono::milliseconds>(
+                   boot_time() - began)
+                   .count()},
+        {"weights", place.m_weights},
+        {"in_flight", place.m_in_flight},
+        {"candidates", place.m_candidates},
+        {"cached", place.m_likely_cached}};
+    // The limit that was known when the upstream was chosen.
+    if (place.m_rate_limit)
+    {
+        m_state.m_metrics.count("daisylead_rate_limited_attempts_total");
+        entry["rate_limit"] = *place.m_rate_limit;
+    }
+    m_attempts.push_back(std::move(entry));
 }
 
 void request_runner::log_end()
--- a/src/serving/upstream_pool.cpp
+++ b/src/serving/upstream_pool.cpp
@@ -61,6 +61,7 @@
             item.m_waiting = waiting;
             item.m_running = running;
             item.m_record = record;
+            m_rates.erase(record.m_id);
             added.push_back(record.m_id);
             continue;
         }
@@ -89,6 +90,7 @@
         else
         {
             removed.push_back(it->first);
+            m_rates.erase(it->first);
             it = m_entries.erase(it);
         }
     }
@@ -163,6 +165,15 @@
     }
 }
 
+bool upstream_pool::note_rate(rate_statement const& statement,
+                              std::int64_t started)
+{
+    auto const found = m_entries.find(statement.m_upstream);
+    return found != m_entries.end() &&
+           found->second.m_record.m_started == started &&
+           m_rates.note(statement);
+}
+
 void upstream_pool::set_newest(model_id const& model, std::int64_t version,
                                time_point named_at)
 {
@@ -375,6 +386,7 @@
                            chosen->m_prefix_index.contains(request.m_prefix);
     best.m_cost = min_cost;
     best.m_in_flight = chosen->requests();
+    best.m_rate_limit = m_rates.limit(chosen->m_record.m_id);
     return best;
 }
 
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -115,6 +115,21 @@
     CHECK_FALSE(platform::read_answer(header).m_leaving);
 }
 
+TEST_CASE("the request rate that a server takes is read from its answer")
+{
+    entry::response_header header;
+    CHECK_FALSE(platform::read_answer(header).m_rate_limit);
+    header.set("Server-Limit", " 1.25 ");
+    auto const facts = platform::read_answer(header);
+    REQUIRE(facts.m_rate_limit);
+    CHECK(*facts.m_rate_limit == Approx(1.25));
+    for (char const* const text : {"", "-1", "nan", "inf", "1e999", "2 a", "x"})
+    {
+        header.set("Server-Limit", text);
+        CHECK_FALSE(platform::read_answer(header).m_rate_limit);
+    }
+}
+
 TEST_CASE("the operator's rows become a catalog")
 {
     json const configuration = json::parse(R"({"version":7,
