Test: [Entry] an upstream that states a request rate gets more (failing)

Cause: callers saw nothing, but an upstream in need got several times what it takes.

Change: two cases with real instances and an upstream that states 2 requests a second: one instance alone, and six that exchange news over a network inside the process. Bound: 1.5 x 4 s x 2 + 5 = 17 requests in any 4 s, from 0.5 s after the load begins.

--- a/tests/entry/stand_in.cpp
+++ b/tests/entry/stand_in.cpp
@@ -140,6 +140,11 @@
     void stop() override {}
 };
 
+std::string peer_address(int number)
+{
+    return "peer-" + std::to_string(number);
+}
+
 std::string value_of(boost::beast::http::fields const& fields, char const* name)
 {
     auto const value = fields[name];
@@ -190,6 +195,10 @@
         info.m_retry_after = std::chrono::milliseconds(
             static_cast<std::int64_t>(std::stod(pause) * 1000));
     }
+    if (std::string const rate = value_of(header, "Rate-Limit"); !rate.empty())
+    {
+        info.m_rate_limit = std::stod(rate);
+    }
     return info;
 }
 
@@ -280,20 +289,91 @@
     }
 }
 
+/** Hands messages to the hook of their receiver. Hooks only post to the thread
+ *  of their instance, so they are called under the lock. */
+class network_transport : public peer::transport
+{
+public:
+    network_transport(peer_network& network, std::string address,
+                      peer::message_hook on_message)
+        : m_network(network), m_address(std::move(address))
+    {
+        std::lock_guard const lock(m_network.m_mutex);
+        m_network.m_hooks[m_address] = std::move(on_message);
+    }
+
+    void send(std::string const& address, peer::message content,
+              std::chrono::milliseconds /*timeout*/,
+              peer::reply_hook on_reply) override
+    {
+        std::lock_guard const lock(m_network.m_mutex);
+        auto const receiver = m_network.m_hooks.find(address);
+        if (receiver == m_network.m_hooks.end())
+        {
+            on_reply(std::nullopt);
+            return;
+        }
+        receiver->second(std::move(content),
+                         [&network = m_network, from = m_address,
+                          on_reply = std::move(on_reply)](peer::message reply)
+                         {
+                             std::lock_guard const reply_lock(network.m_mutex);
+                             if (network.m_hooks.contains(from))
+                             {
+                                 on_reply(std::move(reply));
+                             }
+                         });
+    }
+
+    void stop() override
+    {
+        std::lock_guard const lock(m_network.m_mutex);
+        m_network.m_hooks.erase(m_address);
+    }
+
+private:
+    peer_network& m_network;
+    std::string m_address;
+};
+
+peer::transport_factory peer_network::factory()
+{
+    return [this](std::string const& address, peer::message_hook on_message)
+    {
+        return std::make_unique<network_transport>(*this, address,
+                                                   std::move(on_message));
+    };
+}
+
 running_instance::running_instance(
     serving::catalog catalog, std::vector<serving::upstream_record> upstreams)
     : m_catalog(std::move(catalog)), m_upstreams(std::move(upstreams))
 {
     m_settings.m_instance = instance_id("entry-1");
+    m_settings.m_peer_address = peer_address(1);
+    start([](std::string const&, peer::message_hook const&)
+          { return std::make_unique<no_transport>(); });
+}
+
+running_instance::running_instance(
+    serving::catalog catalog, std::vector<serving::upstream_record> upstreams,
+    peer_network& network, int number)
+    : m_catalog(std::move(catalog)), m_upstreams(std::move(upstreams))
+{
+    m_settings.m_instance = instance_id("entry-" + std::to_string(number));
+    m_settings.m_peer_address = peer_address(number);
+    m_settings.m_seeds = {peer_address(1)};
+    start(network.factory());
+}
+
+void running_instance::start(peer::transport_factory const& make_transport)
+{
     m_settings.m_zone = zone_id("a");
     m_settings.m_caller_address = free_address();
     m_settings.m_readiness_address = free_address();
     m_settings.m_metrics_address = free_address();
-    m_settings.m_peer_address = "127.0.0.1:1";
     m_instance = std::make_unique<entry::entry_instance>(
-        m_context, m_settings, make_adapter(),
-        [](std::string const&, peer::message_hook const&)
-        { return std::make_unique<no_transport>(); },
+        m_context, m_settings, make_adapter(), make_transport,
         [] { return std::optional<config::entry_settings>(); });
     m_thread = std::thread([this] { m_instance->run(); });
     for (int i = 0; i < 100; ++i)
--- a/tests/entry/stand_in.hpp
+++ b/tests/entry/stand_in.hpp
@@ -6,6 +6,7 @@
 #include <atomic>
 #include <chrono>
 #include <functional>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -74,8 +75,22 @@
     std::thread m_acceptor;
 };
 
+/** Connects the instances of one process; messages are not lost. */
+class peer_network
+{
+public:
+    /** @return a factory for the transport of one instance. */
+    peer::transport_factory factory();
+
+private:
+    friend class network_transport;
+
+    std::mutex m_mutex;
+    std::map<std::string, peer::message_hook> m_hooks; ///< by address
+};
+
 /** One entry instance with a minimal adapter. Header fields: Id, Key,
- *  Deadline-Ms, Seal, Not-Run. */
+ *  Deadline-Ms, Seal, Not-Run, Leaving, Retry-After, Rate-Limit. */
 class running_instance
 {
 public:
@@ -83,6 +98,11 @@
      *  @param upstreams in service discovery */
     running_instance(serving::catalog catalog,
                      std::vector<serving::upstream_record> upstreams);
+    /** An instance that exchanges news with the others of a network.
+     *  @param number of this instance, from 1; the first one is the seed */
+    running_instance(serving::catalog catalog,
+                     std::vector<serving::upstream_record> upstreams,
+                     peer_network& network, int number);
     ~running_instance();
     running_instance(running_instance const&) = delete;
     running_instance& operator=(running_instance const&) = delete;
@@ -113,6 +133,7 @@
 
 private:
     entry::adapter make_adapter();
+    void start(peer::transport_factory const& make_transport);
 
     serving::catalog m_catalog;
     std::vector<serving::upstream_record> m_upstreams;
--- /dev/null
+++ b/tests/entry/upstream_rate_test.cpp
@@ -0,0 +1,188 @@
+/** @file Tests of request rate limits that upstreams state in answers. */
+#include "stand_in.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace daisylead;
+using namespace daisylead::entry_test;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+using steady = std::chrono::steady_clock;
+
+constexpr auto load_time = 5s;
+constexpr auto window = 4s;
+
+/** Time in which an instance must act on a limit that it passed on. */
+constexpr auto reaction_time = 500ms;
+
+/** @return max. requests in a window of 4 s at an upstream with a limit. */
+std::size_t max_in_window(double per_second)
+{
+    return static_cast<std::size_t>(1.5 * 4 * per_second + 5);
+}
+
+serving::catalog make_catalog()
+{
+    serving::catalog catalog;
+    catalog.m_version = config_version(1);
+    serving::route route;
+    route.m_id = route_id("r");
+    route.m_host = "h";
+    route.m_prefix = "/again/";
+    route.m_repeatable = true;
+    route.m_open = true;
+    route.m_timeout = 2000ms;
+    route.m_target_latency = 400ms;
+    route.m_max_upstreams = 2;
+    route.m_split = {{service_id("s"), 1}};
+    catalog.m_routes = {route};
+    serving::service service;
+    service.m_id = service_id("s");
+    catalog.m_services = {service};
+    return catalog;
+}
+
+/** An upstream that answers each request and notes when it came. */
+class limited_upstream
+{
+public:
+    /** @param per_second limit to state; 0: none */
+    explicit limited_upstream(double per_second)
+        : m_per_second(per_second),
+          m_server([this](served_connection& connection) { serve(connection); })
+    {
+    }
+
+    void set_limit(double per_second)
+    {
+        m_per_second = per_second;
+    }
+
+    serving::upstream_record record(char const* id) const
+    {
+        serving::upstream_record record;
+        record.m_id = upstream_id(id);
+        record.m_service = service_id("s");
+        record.m_address = m_server.address();
+        record.m_zone = zone_id("a");
+        record.m_slots = 10;
+        record.m_started = 1;
+        return record;
+    }
+
+    /** @return most requests in a window that began after @p from. */
+    std::size_t most_in_window(steady::time_point from)
+    {
+        std::lock_guard const lock(m_mutex);
+        std::size_t most = 0;
+        for (auto first =
+                 std::lower_bound(m_times.begin(), m_times.end(), from);
+             first != m_times.end(); ++first)
+        {
+            auto const last =
+                std::lower_bound(first, m_times.end(), *first + window);
+            most = std::max(most, static_cast<std::size_t>(last - first));
+        }
+        return most;
+    }
+
+    /** @return requests since @p from. */
+    std::size_t count_since(steady::time_point from)
+    {
+        std::lock_guard const lock(m_mutex);
+        return static_cast<std::size_t>(
+            m_times.end() -
+            std::lower_bound(m_times.begin(), m_times.end(), from));
+    }
+
+private:
+    void serve(served_connection& connection)
+    {
+        while (!connection.read_request().empty())
+        {
+            {
+                std::lock_guard const lock(m_mutex);
+                m_times.push_back(steady::now());
+            }
+            double const rate = m_per_second;
+            connection.write(
+                "HTTP/1.1 200 OK\r\nId: a1\r\nSeal: s\r\n" +
+                (rate > 0 ? "Rate-Limit: " + std::to_string(rate) + "\r\n"
+                          : std::string()) +
+                "Content-Length: 2\r\n\r\nok");
+        }
+    }
+
+    std::atomic<double> m_per_second;
+    std::mutex m_mutex;
+    std::vector<steady::time_point> m_times; ///< in order, guarded by m_mutex
+    scripted_upstream m_server;
+};
+
+/** Sends requests one after the other until @p end.
+ *  @return number of answers other than 200 */
+int send_requests(running_instance& instance, steady::time_point end)
+{
+    int others = 0;
+    while (steady::now() < end)
+    {
+        std::string const answer =
+            instance.exchange("GET /again/x HTTP/1.1\r\nHost: h\r\nId: a1\r\n"
+                              "Connection: close\r\n\r\n");
+        others += answer.rfind("HTTP/1.1 200", 0) == 0 ? 0 : 1;
+        std::this_thread::sleep_for(5ms);
+    }
+    return others;
+}
+
+} // namespace
+
+TEST_CASE("one instance keeps to the request rate of an upstream")
+{
+    // Guards against a limit that is not read from the answer.
+    limited_upstream limited(2);
+    limited_upstream other(0);
+    running_instance instance(make_catalog(),
+                              {limited.record("u1"), other.record("u2")});
+    auto const began = steady::now();
+    CHECK(send_requests(instance, began + load_time) == 0);
+    CHECK(limited.most_in_window(began + reaction_time) <= max_in_window(2));
+    CHECK(limited.count_since(began) > 0);
+}
+
+TEST_CASE("instances together keep to the request rate of an upstream")
+{
+    // Guards against instances that each use the whole limit.
+    limited_upstream limited(2);
+    limited_upstream other(0);
+    peer_network network;
+    std::vector<std::unique_ptr<running_instance>> fleet;
+    for (int number = 1; number <= 6; ++number)
+    {
+        fleet.push_back(std::make_unique<running_instance>(
+            make_catalog(),
+            std::vector{limited.record("u1"), other.record("u2")}, network,
+            number));
+    }
+    auto const began = steady::now();
+    std::atomic<int> others = 0;
+    std::vector<std::thread> callers;
+    for (auto const& instance : fleet)
+    {
+        callers.emplace_back(
+            [&, item = instance.get()]
+            { others += send_requests(*item, began + load_time); });
+    }
+    for (std::thread& caller : callers)
+    {
+        caller.join();
+    }
+    CHECK(others == 0);
+    CHECK(limited.most_in_window(began + reaction_time) <= max_in_window(2));
+    CHECK(limited.count_since(began + reaction_time) > 0);
+}
