Fix: [Serving] upstreams that state a request rate got their usual traffic

What callers saw: nothing.

Cause: the rate in an answer was not read, and there was no way in which all instances together keep a rate at one upstream. Class: a request of an upstream about the load of the whole fleet that only some, or only each instance for itself, can act on.

Ruled out: obeying it in each instance alone. 19 instances send 0.2 a second each to an engine, so a rate of 1 never binds one of them. Ruled out as designs: static shares of all instances (each may send one request at once: 19 in a moment where 11 are allowed; 295 on the large site); the exchange of use as for limits of organisations (news are 0.2 to 0.6 s old, and its slack is above 20 requests).

Change: the rate travels with the news of the fleet by position in the upstream list, with its age; a change is urgent. Each upstream has at most one sender more than requests per second, chosen by rendezvous hashing among the live relays (all instances of a small fleet); where more are due, relays grant shares to their children for 1.3 s. A sender keeps the interval of its share, also when it regains the share. In any 4 s that is at most 5 x rate + 1 requests. Other instances use the other upstreams. If rates alone are in the way and the next request is due later than a request may be held, it is refused at once with the time until one is due. An upstream that states 0 gets a request every 5 s, since only an answer tells the end.

--- a/include/daisylead/serving/fleet_news_type.hpp
+++ b/include/daisylead/serving/fleet_news_type.hpp
@@ -48,12 +48,23 @@
     std::uint32_t m_tokens = 0; ///< prompt and output tokens of these requests
 };
 
-/** Requests in flight by position in the upstream list, which is sorted by
- *  id. */
+/** Request rate limit of the upstream at one position of the upstream list. */
+struct position_rate
+{
+    std::uint16_t m_position = 0; ///< index in the list, see load_news
+    /** Max. requests per second of all instances; nothing: the limit ended. */
+    std::optional<double> m_per_second;
+    std::int64_t m_age_ms = 0; ///< since the upstream stated it
+    double m_granted = 0;      ///< share of the receiver, from its relay
+};
+
+/** Requests in flight and rate limits by position in the upstream list, which
+ * is sorted by id. */
 struct load_news
 {
     std::uint64_t m_list_digest = 0; ///< digest of that list
     std::vector<position_load> m_loads;
+    std::vector<position_rate> m_rates;
 };
 
 /** Difference between two upstream lists of service discovery. */
--- a/include/daisylead/serving/fleet_roster_base.hpp
+++ b/include/daisylead/serving/fleet_roster_base.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <daisylead/serving/fleet_news_type.hpp>
+#include <daisylead/serving/rate_division_func.hpp>
 
 #include <map>
 #include <optional>
@@ -191,6 +192,9 @@
     /** @return number of live peers in direct contact with this instance. */
     std::size_t live_peers(time_point now) const;
 
+    /** @return what this instance divides request rates with. */
+    rate_group rate_sharers(time_point now) const;
+
     /** @return the member list to send to peers. */
     std::vector<member> members_for_peers(time_point now) const;
 
--- /dev/null
+++ b/include/daisylead/serving/rate_division_func.hpp
@@ -0,0 +1,37 @@
+/** @file Division of an upstream's request rate among the instances. */
+#pragma once
+
+#include <daisylead/base/id_type.hpp>
+
+#include <map>
+#include <vector>
+
+namespace daisylead::serving
+{
+
+/** The instances that one instance divides a request rate with. */
+struct rate_group
+{
+    instance_id m_self;                ///< this instance, a relay
+    std::vector<instance_id> m_relays; ///< the other live relays
+    /** Live instances that report to this one. */
+    std::vector<instance_id> m_children;
+};
+
+/** Shares in a request rate, requests per second; an instance without one sends
+ *  nothing. */
+struct rate_division
+{
+    double m_own = 0;                         ///< share of this instance
+    std::map<instance_id, double> m_children; ///< shares of the children
+};
+
+/** Divides the request rate of an upstream. Each sender may send one request at
+ *  once, so the number of senders is limited to one more than the requests per
+ *  second. All relays choose the same ones among themselves; only where more
+ *  senders than relays are due does each relay give shares to its children.
+ *  @param per_second max. requests per second of all instances */
+rate_division divide_rate(upstream_id const& upstream, double per_second,
+                          rate_group const& group);
+
+} // namespace daisylead::serving
--- a/include/daisylead/serving/upstream_list_base.hpp
+++ b/include/daisylead/serving/upstream_list_base.hpp
@@ -39,6 +39,9 @@
         return m_records;
     }
 
+    /** @return position of the upstream, or nothing if it is not listed. */
+    std::optional<std::uint16_t> position_of(upstream_id const& id) const;
+
     /** @return requests in flight by position in the list, without upstreams
      *          that are not listed. */
     load_news to_news(in_flight_counts const& counts) const;
--- a/include/daisylead/serving/upstream_pool_base.hpp
+++ b/include/daisylead/serving/upstream_pool_base.hpp
@@ -102,6 +102,11 @@
     std::int64_t m_in_flight = 0; ///< requests at it, of all instances
     /** Its request rate limit, if one is known. */
     std::optional<double> m_rate_limit;
+    /** Set if only request rate limits keep the request from all upstreams:
+     * when this instance may send it; time_point::max(): it has no share. */
+    std::optional<time_point> m_next_send;
+    /** With m_next_send: time until some instance may send a request. */
+    duration m_rate_wait{};
 };
 
 /** Weights of an engine, as reported by the holder of the order lease. */
@@ -139,9 +144,11 @@
 class upstream_pool
 {
 public:
-    /** @param random uniform 64-bit numbers, to break ties */
+    /** @param random uniform 64-bit numbers, to break ties
+     *  @param share see upstream_rates */
     upstream_pool(upstream_pool_options options,
-                  std::function<std::uint64_t()> random);
+                  std::function<std::uint64_t()> random,
+                  rate_share_hook share = {});
 
     /** Replaces the list of service discovery.
      *  @param read_at when it was read
@@ -163,7 +170,8 @@
     std::vector<std::pair<std::int64_t, time_point>>
     named(model_id const& model) const;
 
-    /** Chooses the upstream with the lowest estimated cost. */
+    /** Chooses the upstream with the lowest estimated cost. The request counts
+     * as sent to it as far as its request rate limit is concerned. */
     placement place(placement_request const& request, time_point now);
 
     /** Records a request that is sent to the upstream. */
@@ -333,6 +341,8 @@
                              token_count added);
     double occupancy(entry const& item, placement_request const& request) const;
     duration old_weights_limit(double occupancy) const;
+    void note_rate_obstacle(placement& result, upstream_id const& id,
+                            time_point next_send, time_point now) const;
 
     upstream_pool_options m_options;
     std::function<std::uint64_t()> m_random;
--- a/include/daisylead/serving/upstream_rates_base.hpp
+++ b/include/daisylead/serving/upstream_rates_base.hpp
@@ -4,6 +4,7 @@
 #include <daisylead/base/id_type.hpp>
 #include <daisylead/base/unit_type.hpp>
 
+#include <functional>
 #include <optional>
 #include <unordered_map>
 #include <vector>
@@ -20,14 +21,26 @@
     time_point m_stated_at; ///< when the upstream stated it
 };
 
-/** Known request rate limits of the upstreams. */
+/** @return the part of an upstream's limit that this instance may use now,
+ *          requests per second; 0: none. */
+using rate_share_hook = std::function<double(
+    upstream_id const&, double per_second, time_point now)>;
+
+/** Known request rate limits of the upstreams, and the pace of this instance at
+ *  each of them. */
 class upstream_rates
 {
 public:
+    /** @param share empty: this instance uses the limits alone */
+    explicit upstream_rates(rate_share_hook share);
+
     /** Records a statement, unless a newer one is known.
      *  @return whether a limit appeared, ended or changed noticeably */
     bool note(rate_statement const& statement);
 
+    /** @return whether the statement has another limit than the known one. */
+    bool is_change(rate_statement const& statement) const;
+
     /** Forgets an upstream that was removed or restarted. */
     void erase(upstream_id const& id);
 
@@ -35,11 +48,34 @@
      *          limit is known. */
     std::optional<double> limit(upstream_id const& id) const;
 
+    /** @return when this instance may send the upstream a request;
+     *          time_point::max(): it has no share in the limit. */
+    time_point next_send(upstream_id const& id, time_point now) const;
+
+    /** Records a request that this instance sends to the upstream. */
+    void note_sent(upstream_id const& id, time_point now);
+
+    /** Records the share that the relay of this instance granted it.
+     *  @param until when the share lapses unless it is granted again */
+    void note_grant(upstream_id const& id, double per_second, time_point until);
+
+    /** @return share granted by a relay, requests per second; 0: none. */
+    double granted(upstream_id const& id, time_point now) const;
+
     /** @return limits in force, and those that ended recently. */
     std::vector<rate_statement> statements(time_point now);
 
 private:
-    std::unordered_map<upstream_id, rate_statement> m_statements;
+    struct entry
+    {
+        rate_statement m_statement;
+        time_point m_last_sent; ///< by this instance, or the limit's start
+        double m_granted = 0;   ///< see note_grant()
+        time_point m_granted_until;
+    };
+
+    rate_share_hook m_share;
+    std::unordered_map<upstream_id, entry> m_entries;
 };
 
 } // namespace daisylead::serving
--- a/src/entry/fleet_exchange.cpp
+++ b/src/entry/fleet_exchange.cpp
@@ -132,6 +132,7 @@
     news.m_load = m_state.m_upstreams.to_news(
         child ? m_state.m_upstream_pool.in_flight_without(to, min_reported_load)
               : m_state.m_upstream_pool.own_in_flight());
+    m_state.add_rates(news.m_load, peer, now);
     news.m_kv_store_epoch = m_state.m_kv_store_epoch;
     if (m_state.m_kv_store_answered_at)
     {
@@ -300,7 +301,8 @@
 }
 
 void fleet_exchange::apply_news(serving::fleet_news const& news,
-                                peer_relation relation)
+                                peer_relation relation,
+                                std::optional<time_point> sent_at)
 {
     time_point const now = boot_time();
     for (serving::member const& member : news.m_members)
@@ -308,6 +310,8 @@
         m_state.note_member(member, false);
     }
     apply_usage_and_load(news, relation, now);
+    m_state.apply_rates(news.m_load, news.m_member.m_id,
+                        relation == peer_relation::parent, sent_at);
     for (request::quarantine_update const& suspect : news.m_suspects)
     {
         m_state.m_quarantine.on_peer_update(suspect, now);
@@ -404,7 +408,7 @@
                        {{"peer", reply.m_member.m_id.value()}});
     }
     peer.m_knows_members = true;
-    apply_news(reply, m_state.m_roster.note_reply(reply, now));
+    apply_news(reply, m_state.m_roster.note_reply(reply, now), sent_at);
     m_state.apply_named_weights(reply.m_named, sent_at);
     if (reply.m_kv_store_age_ms)
     {
@@ -429,7 +433,7 @@
     }
     m_state.note_member(news.m_member, true);
     peer_relation const relation = m_state.m_roster.note_call(news, now);
-    apply_news(news, relation);
+    apply_news(news, relation, std::nullopt);
     // The peer has a newer document: request it now instead of at the next
     // interval. Its age is computed from the reply to that request.
     wanted_parts wanted;
--- a/src/entry/fleet_exchange.hpp
+++ b/src/entry/fleet_exchange.hpp
@@ -64,8 +64,11 @@
     wanted_parts apply_documents(serving::fleet_news const& reply,
                                  time_point sent_at);
     serving::fleet_news handle_news(serving::fleet_news const& news);
+    /** @param sent_at when this instance asked for a reply; nothing: the peer
+     *  sent the news on its own */
     void apply_news(serving::fleet_news const& news,
-                    serving::peer_relation relation);
+                    serving::peer_relation relation,
+                    std::optional<time_point> sent_at);
     void apply_usage_and_load(serving::fleet_news const& news,
                               serving::peer_relation relation, time_point now);
 
--- a/src/entry/fleet_state.cpp
+++ b/src/entry/fleet_state.cpp
@@ -48,6 +48,10 @@
  *  itself. */
 constexpr duration naming_times_known_after = 10s;
 
+/** TTL of a share in an upstream's request rate: three intervals of the relay's
+ *  replies. */
+constexpr duration rate_grant_ttl = 1300ms;
+
 /** Quarantine period of a request that crashed upstreams. */
 constexpr duration quarantine_period = 30s;
 
@@ -90,7 +94,10 @@
                          boost::asio::any_io_executor const& executor,
                          std::int64_t started)
     : m_settings(settings), m_adapter(platform_adapter), m_metrics(metrics),
-      m_upstream_pool({}, &random_number),
+      m_upstream_pool(
+          {}, &random_number,
+          [this](upstream_id const& id, double per_second, time_point now)
+          { return rate_share(id, per_second, now); }),
       m_quotas(peer_silent_after, quota_initial_fill),
       m_retries({settings.m_retry_ratio,
                  static_cast<double>(settings.m_retry_extra),
@@ -422,6 +429,96 @@
                     {"stated_ms_ago",
                      milliseconds_of(boot_time() - statement.m_stated_at)},
                     {"source", from.empty() ? "answer" : from.value()}});
+    m_roster.mark_urgent(from, boot_time());
+    if (m_on_urgent_news)
+    {
+        m_on_urgent_news();
+    }
+}
+
+double fleet_state::rate_share(upstream_id const& id, double per_second,
+                               time_point now) const
+{
+    if (!m_roster.is_relay(now))
+    {
+        return m_upstream_pool.rates().granted(id, now);
+    }
+    serving::rate_group const group = m_roster.rate_sharers(now);
+    // The others divide the limit among themselves once this instance drains.
+    return m_draining && !group.m_relays.empty()
+               ? 0
+               : serving::divide_rate(id, per_second, group).m_own;
+}
+
+void fleet_state::add_rates(serving::load_news& news,
+                            serving::peer_state const* receiver, time_point now)
+{
+    std::vector<serving::rate_statement> const statements =
+        m_upstream_pool.rates().statements(now);
+    if (statements.empty())
+    {
+        return;
+    }
+    bool const grants =
+        receiver != nullptr && !m_draining && m_roster.is_child(*receiver, now);
+    serving::rate_group const group =
+        grants ? m_roster.rate_sharers(now) : serving::rate_group();
+    for (serving::rate_statement const& statement : statements)
+    {
+        auto const position = m_upstreams.position_of(statement.m_upstream);
+        if (!position)
+        {
+            continue;
+        }
+        double granted = 0;
+        if (grants && statement.m_per_second)
+        {
+            auto const shares = serving::divide_rate(
+                statement.m_upstream, *statement.m_per_second, group);
+            auto const share = shares.m_children.find(receiver->m_member.m_id);
+            granted = share == shares.m_children.end() ? 0 : share->second;
+        }
+        news.m_rates.push_back({*position, statement.m_per_second,
+                                std::chrono::ceil<std::chrono::milliseconds>(
+                                    now - statement.m_stated_at)
+                                    .count(),
+                                granted});
+    }
+}
+
+void fleet_state::apply_rates(serving::load_news const& news,
+                              instance_id const& from, bool from_relay,
+                              std::optional<time_point> sent_at)
+{
+    if (news.m_list_digest != m_upstreams.digest())
+    {
+        return;
+    }
+    time_point const now = boot_time();
+    for (serving::position_rate const& rate : news.m_rates)
+    {
+        if (rate.m_position >= m_upstreams.records().size())
+        {
+            continue;
+        }
+        serving::upstream_record const& upstream =
+            m_upstreams.records()[rate.m_position];
+        // A message that was delayed looks newer than it is. Without the time
+        // of a question, only a change is taken from it, so that the time does
+        // not advance with each exchange.
+        serving::rate_statement const statement{
+            upstream.m_id, rate.m_per_second,
+            sent_at.value_or(now) - std::chrono::milliseconds(rate.m_age_ms)};
+        if (sent_at || m_upstream_pool.rates().is_change(statement))
+        {
+            note_rate(statement, upstream.m_started, from);
+        }
+        if (from_relay)
+        {
+            m_upstream_pool.rates().note_grant(upstream.m_id, rate.m_granted,
+                                               now + rate_grant_ttl);
+        }
+    }
 }
 
 void fleet_state::note_suspects(std::vector<request::quarantine_update> news)
--- a/src/entry/fleet_state.hpp
+++ b/src/entry/fleet_state.hpp
@@ -109,6 +109,19 @@
     void note_rate(serving::rate_statement const& statement,
                    std::int64_t started, instance_id const& from);
 
+    /** Adds the known request rate limits to news.
+     *  @param receiver peer whose share in each is added if it reports to this
+     *  instance; may be null */
+    void add_rates(serving::load_news& news,
+                   serving::peer_state const* receiver, time_point now);
+
+    /** Applies the request rate limits that a peer sent.
+     *  @param from_relay it is the relay of this instance
+     *  @param sent_at when this instance asked for them; nothing: the peer sent
+     *  them on its own */
+    void apply_rates(serving::load_news const& news, instance_id const& from,
+                     bool from_relay, std::optional<time_point> sent_at);
+
     /** Logs news of suspect requests and queues it for the peers. */
     void note_suspects(std::vector<request::quarantine_update> news);
 
@@ -177,6 +190,8 @@
     std::map<upstream_id, serving::numbered_weights> m_weights;
     /** Prefixes saved to the KV cache store, with the time of the save. */
     request::lru_map<std::uint64_t, time_point> m_saved;
+    double rate_share(upstream_id const& id, double per_second,
+                      time_point now) const;
     void apply_catalog(serving::catalog catalog, time_point named_at);
     void apply_upstreams(bool changed, std::uint64_t revision,
                          time_point read_at, std::string const& source);
--- a/src/entry/request_runner.cpp
+++ b/src/entry/request_runner.cpp
@@ -46,6 +46,10 @@
  *  that time. */
 constexpr duration busy_retry_delay = 400ms;
 
+/** Longest Retry-After of callers when the request rates of all upstreams are
+ *  used up; the end of a limit becomes known within that time. */
+constexpr duration max_rate_retry_delay = 5s;
+
 /** Retry-After of callers when this instance lacks data that it or another
  *  instance will soon have. */
 constexpr duration stale_config_retry_delay = 300ms;
@@ -324,7 +328,8 @@
         }
         // While a request is held, only a busy upstream can become free.
         bool const may_become_free =
-            place.m_reason == serving::no_placement::all_busy;
+            place.m_reason == serving::no_placement::all_busy &&
+            place.m_next_send.value_or(now) < began + hold;
         if (!may_become_free || now - began >= hold ||
             time_left() < min_time_left || m_caller->is_gone())
         {
@@ -337,10 +342,18 @@
             }
             else
             {
+                bool const is_limited = place.m_next_send.has_value();
                 m_refusal =
-                    refusal{503, may_become_free ? "all_busy" : "no_upstream",
+                    refusal{503,
+                            is_limited ? "rate_limited"
+                            : place.m_reason == serving::no_placement::all_busy
+                                ? "all_busy"
+                                : "no_upstream",
                             "no upstream can take the request now",
-                            suggested_retry_delay()};
+                            is_limited ? std::clamp(place.m_rate_wait,
+                                                    suggested_retry_delay(),
+                                                    max_rate_retry_delay)
+                                       : suggested_retry_delay()};
             }
             co_return std::nullopt;
         }
--- a/src/peer/codec.cpp
+++ b/src/peer/codec.cpp
@@ -6,6 +6,9 @@
 #include <capnp/message.h>
 #include <capnp/serialize.h>
 
+#include <algorithm>
+#include <cmath>
+#include <limits>
 #include <type_traits>
 
 namespace daisylead::peer
@@ -14,6 +17,9 @@
 namespace
 {
 
+/** Stands for a request rate limit that ended. */
+constexpr double ended_rate = -1;
+
 capnp::Text::Reader to_text(std::string const& text)
 {
     return {text.data(), text.size()};
@@ -335,6 +341,26 @@
         requests.set(i, load.m_loads[i].m_requests);
         tokens.set(i, load.m_loads[i].m_tokens);
     }
+    if (load.m_rates.empty())
+    {
+        return;
+    }
+    unsigned const rates = size_of(load.m_rates);
+    auto rate_positions = target.initRatePositions(rates);
+    auto per_second = target.initRatesPerSecond(rates);
+    auto ages = target.initRateAgesMs(rates);
+    auto granted = target.initRatesGranted(rates);
+    for (unsigned i = 0; i < rates; ++i)
+    {
+        serving::position_rate const& rate = load.m_rates[i];
+        rate_positions.set(i, rate.m_position);
+        per_second.set(
+            i, static_cast<float>(rate.m_per_second.value_or(ended_rate)));
+        ages.set(i, static_cast<std::uint32_t>(std::clamp<std::int64_t>(
+                        rate.m_age_ms, 0,
+                        std::numeric_limits<std::uint32_t>::max())));
+        granted.set(i, static_cast<float>(rate.m_granted));
+    }
 }
 
 void encode_changes(serving::upstream_changes const& changes,
@@ -604,6 +630,28 @@
     {
         load.m_loads.push_back({positions[i], requests[i], tokens[i]});
     }
+    auto const rate_positions = source.getRatePositions();
+    auto const per_second = source.getRatesPerSecond();
+    auto const ages = source.getRateAgesMs();
+    auto const granted = source.getRatesGranted();
+    if (rate_positions.size() != per_second.size() ||
+        rate_positions.size() != ages.size() ||
+        rate_positions.size() != granted.size())
+    {
+        throw error("a peer's request rates have lists of different lengths");
+    }
+    for (unsigned i = 0; i < rate_positions.size(); ++i)
+    {
+        if (!std::isfinite(per_second[i]) || !std::isfinite(granted[i]))
+        {
+            throw error("a peer's request rate is not a number");
+        }
+        load.m_rates.push_back({rate_positions[i],
+                                per_second[i] < 0
+                                    ? std::nullopt
+                                    : std::optional<double>(per_second[i]),
+                                ages[i], granted[i]});
+    }
     return load;
 }
 
--- a/src/peer/peer.capnp
+++ b/src/peer/peer.capnp
@@ -150,12 +150,17 @@
   totals @1 :List(Int64);
 }
 
-# The lists of one load have the same length.
+# The lists of one load have the same length, and so have those of the rates. A
+# negative rate says that the limit ended.
 struct LoadNews {
   listDigest @0 :UInt64;
   positions @1 :List(UInt16);
   requests @2 :List(UInt16);
   tokens @3 :List(UInt32);
+  ratePositions @4 :List(UInt16);
+  ratesPerSecond @5 :List(Float32);
+  rateAgesMs @6 :List(UInt32);
+  ratesGranted @7 :List(Float32);
 }
 
 struct UpstreamRecord {
--- a/src/serving/fleet_roster.cpp
+++ b/src/serving/fleet_roster.cpp
@@ -563,6 +563,27 @@
         [&](auto const& entry) { return is_live(*entry.second, now); }));
 }
 
+rate_group fleet_roster::rate_sharers(time_point now) const
+{
+    rate_group group{m_self.m_id, {}, {}};
+    for (auto const& [id, peer] : m_active)
+    {
+        if (peer->m_leaving)
+        {
+            continue;
+        }
+        if (peer->m_is_relay && is_live(*peer, now))
+        {
+            group.m_relays.push_back(id);
+        }
+        else if (is_child(*peer, now))
+        {
+            group.m_children.push_back(id);
+        }
+    }
+    return group;
+}
+
 std::vector<member> fleet_roster::members_for_peers(time_point now) const
 {
     std::vector<member> members;
--- a/src/serving/upstream_list.cpp
+++ b/src/serving/upstream_list.cpp
@@ -185,16 +185,23 @@
     return result;
 }
 
+std::optional<std::uint16_t>
+upstream_list::position_of(upstream_id const& id) const
+{
+    auto const found = m_positions.find(id);
+    return found == m_positions.end() ? std::nullopt
+                                      : std::optional(found->second);
+}
+
 load_news upstream_list::to_news(in_flight_counts const& counts) const
 {
     load_news news;
     news.m_list_digest = m_digest;
     for (upstream_load const& use : counts)
     {
-        auto const position = m_positions.find(use.m_upstream);
-        if (position != m_positions.end())
+        if (auto const position = position_of(use.m_upstream))
         {
-            news.m_loads.push_back({position->second,
+            news.m_loads.push_back({*position,
                                     clamped<std::uint16_t>(use.m_requests),
                                     clamped<std::uint32_t>(use.m_tokens)});
         }
--- a/src/serving/upstream_pool.cpp
+++ b/src/serving/upstream_pool.cpp
@@ -16,6 +16,9 @@
  *  the time for which old weights may be used. */
 constexpr std::size_t max_named_versions = 16;
 
+/** Smallest request rate, per second, from which a wait is derived. */
+constexpr double min_waited_rate = 0.1;
+
 std::uint64_t rendezvous_weight(upstream_id const& id, std::uint64_t prefix)
 {
     return XXH64(id.value().data(), id.value().size(), prefix);
@@ -24,8 +27,9 @@
 } // namespace
 
 upstream_pool::upstream_pool(upstream_pool_options options,
-                             std::function<std::uint64_t()> random)
-    : m_options(options), m_random(std::move(random))
+                             std::function<std::uint64_t()> random,
+                             rate_share_hook share)
+    : m_options(options), m_random(std::move(random)), m_rates(std::move(share))
 {
 }
 
@@ -301,6 +305,24 @@
     return total;
 }
 
+/** Records that a request rate limit alone rules out an upstream. */
+void upstream_pool::note_rate_obstacle(placement& result, upstream_id const& id,
+                                       time_point next_send,
+                                       time_point now) const
+{
+    result.m_next_send =
+        std::min(result.m_next_send.value_or(next_send), next_send);
+    duration const wait =
+        next_send != time_point::max()
+            ? next_send - now
+            : std::chrono::duration_cast<duration>(
+                  std::chrono::duration<double>(
+                      1 / std::max(*m_rates.limit(id), min_waited_rate)));
+    result.m_rate_wait = result.m_rate_wait == duration::zero()
+                             ? wait
+                             : std::min(result.m_rate_wait, wait);
+}
+
 placement upstream_pool::place(placement_request const& request, time_point now)
 {
     placement best;
@@ -316,6 +338,7 @@
         entry* m_entry;
     };
     std::vector<candidate> candidates;
+    bool has_other_obstacle = false;
     for (upstream_id const& id : ids->second)
     {
         entry& item = m_entries.at(id);
@@ -348,6 +371,13 @@
             item.m_rejected_until > now ||
             static_cast<double>(item.requests()) >= limit)
         {
+            has_other_obstacle = true;
+            continue;
+        }
+        time_point const next_send = m_rates.next_send(id, now);
+        if (next_send > now)
+        {
+            note_rate_obstacle(best, id, next_send, now);
             continue;
         }
         // Without a prefix, a random order keeps instances with equal estimates
@@ -358,6 +388,10 @@
                               &item});
     }
     best.m_candidates = candidates.size();
+    if (has_other_obstacle || !candidates.empty())
+    {
+        best.m_next_send.reset();
+    }
     if (candidates.empty())
     {
         return best;
@@ -387,6 +421,7 @@
     best.m_cost = min_cost;
     best.m_in_flight = chosen->requests();
     best.m_rate_limit = m_rates.limit(chosen->m_record.m_id);
+    m_rates.note_sent(chosen->m_record.m_id, now);
     return best;
 }
 
--- a/tests/peer/transport_test.cpp
+++ b/tests/peer/transport_test.cpp
@@ -56,6 +56,25 @@
     CHECK(body.m_reports.at(0).m_closed);
 }
 
+TEST_CASE("encoding keeps request rates, also those that ended")
+{
+    serving::fleet_news news;
+    news.m_load.m_rates = {{3, 1.5, 250, 0.75}, {9, std::nullopt, 40, 0}};
+    capnp::MallocMessageBuilder builder;
+    auto target = builder.initRoot<peer::wire::Message>();
+    peer::encode({instance_id("entry-1"), incarnation(42), news}, target);
+    peer::message const decoded = peer::decode(target.asReader());
+    auto const& rates =
+        std::get<serving::fleet_news>(decoded.m_body).m_load.m_rates;
+    REQUIRE(rates.size() == 2);
+    CHECK(rates[0].m_position == 3);
+    CHECK(rates[0].m_per_second == 1.5);
+    CHECK(rates[0].m_age_ms == 250);
+    CHECK(rates[0].m_granted == 0.75);
+    CHECK(rates[1].m_position == 9);
+    CHECK_FALSE(rates[1].m_per_second);
+}
+
 TEST_CASE("a call reaches the peer and its reply comes back")
 {
     auto const receiver =
--- a/tests/serving/upstream_pool_test.cpp
+++ b/tests/serving/upstream_pool_test.cpp
@@ -265,3 +265,52 @@
     pool.drop_peer(instance_id("p"));
     CHECK(pool.in_flight(upstream_id("e0")) == 0);
 }
+
+TEST_CASE("an upstream gets no more than its request rate, the others the rest")
+{
+    upstream_pool pool = make_pool();
+    pool.take_list(make_engines(3), start);
+    upstream_id const limited("e0");
+    CHECK_FALSE(pool.note_rate({limited, 2.0, start}, 4));
+    CHECK(pool.note_rate({limited, 2.0, start}, 5));
+    int sent = 0;
+    for (time_point now = start; now < start + 4s; now += 10ms)
+    {
+        placement const place = pool.place(make_request(), now);
+        REQUIRE(place.m_reason == no_placement::none);
+        CHECK_FALSE(place.m_next_send);
+        sent += place.m_upstream.m_id == limited ? 1 : 0;
+    }
+    CHECK(sent > 4);
+    CHECK(sent <= 8);
+}
+
+TEST_CASE("a request that waits for a request rate alone is told how long")
+{
+    upstream_pool pool = make_pool();
+    pool.take_list(make_engines(1), start);
+    REQUIRE(pool.note_rate({upstream_id("e0"), 2.0, start}, 5));
+    placement const early = pool.place(make_request(), start + 100ms);
+    CHECK(early.m_reason == no_placement::all_busy);
+    REQUIRE(early.m_next_send);
+    CHECK(*early.m_next_send == start + 500ms);
+    CHECK(early.m_rate_wait == 400ms);
+    CHECK(pool.place(make_request(), start + 500ms).m_reason ==
+          no_placement::none);
+    // A full upstream may become free before that time.
+    pool.note_refused(upstream_id("e0"), 60ms, start + 600ms);
+    CHECK_FALSE(pool.place(make_request(), start + 610ms).m_next_send);
+}
+
+TEST_CASE("an upstream that restarted has no request rate of its former run")
+{
+    upstream_pool pool = make_pool();
+    std::vector<upstream_record> list = make_engines(1);
+    pool.take_list(list, start);
+    REQUIRE(pool.note_rate({upstream_id("e0"), 1.0, start}, 5));
+    list[0].m_started = 6;
+    pool.take_list(list, start + 100ms);
+    CHECK_FALSE(pool.rates().limit(upstream_id("e0")));
+    CHECK(pool.place(make_request(), start + 100ms).m_reason ==
+          no_placement::none);
+}
