Doc: [Serving] clearer comments on the division of request rates

Change: comments only. Ruled out: renaming the functions, their names match the roster. Conclusion: no behaviour changes.

--- a/include/daisylead/serving/fleet_roster_base.hpp
+++ b/include/daisylead/serving/fleet_roster_base.hpp
@@ -192,7 +192,8 @@
     /** @return number of live peers in direct contact with this instance. */
     std::size_t live_peers(time_point now) const;
 
-    /** @return what this instance divides request rates with. */
+    /** @return the live instances that divide the request rates of upstreams,
+     *          as seen by this one. */
     rate_group rate_sharers(time_point now) const;
 
     /** @return the member list to send to peers. */
--- a/src/entry/fleet_exchange.hpp
+++ b/src/entry/fleet_exchange.hpp
@@ -64,8 +64,8 @@
     wanted_parts apply_documents(serving::fleet_news const& reply,
                                  time_point sent_at);
     serving::fleet_news handle_news(serving::fleet_news const& news);
-    /** @param sent_at when this instance asked for a reply; nothing: the peer
-     *  sent the news on its own */
+    /** @param sent_at when this instance sent the call that the news reply to;
+     *  nothing: the peer sent them on its own */
     void apply_news(serving::fleet_news const& news,
                     serving::peer_relation relation,
                     std::optional<time_point> sent_at);
--- a/src/entry/fleet_state.cpp
+++ b/src/entry/fleet_state.cpp
@@ -503,9 +503,9 @@
         }
         serving::upstream_record const& upstream =
             m_upstreams.records()[rate.m_position];
-        // A message that was delayed looks newer than it is. Without the time
-        // of a question, only a change is taken from it, so that the time does
-        // not advance with each exchange.
+        // News that a peer sent on its own look newer than they are by the time
+        // on the way. Only changes are taken from them, so that the time of a
+        // statement does not advance with each exchange.
         serving::rate_statement const statement{
             upstream.m_id, rate.m_per_second,
             sent_at.value_or(now) - std::chrono::milliseconds(rate.m_age_ms)};
--- a/src/entry/fleet_state.hpp
+++ b/src/entry/fleet_state.hpp
@@ -117,8 +117,8 @@
 
     /** Applies the request rate limits that a peer sent.
      *  @param from_relay it is the relay of this instance
-     *  @param sent_at when this instance asked for them; nothing: the peer sent
-     *  them on its own */
+     *  @param sent_at when this instance sent the call that they reply to;
+     *  nothing: the peer sent them on its own */
     void apply_rates(serving::load_news const& news, instance_id const& from,
                      bool from_relay, std::optional<time_point> sent_at);
 
