Change: [Serving] request rates of upstreams are spread over the fleet

Where all upstreams of a service state a rate, the relays' own callers use half of it, and all other instances refuse.

Ruled out: more burst for each sender; it would be spent at the same few instances.

Change: 1 + 1.5 x rate senders in place of 1 + rate, chosen by rendezvous hashing among all instances of a group, the relay being one of them. One code path for fleets with children and without. In any 4 s at most 5.5 x rate + 1 requests, 6 x rate + 5 are allowed.

--- a/include/daisylead/serving/rate_division_func.hpp
+++ b/include/daisylead/serving/rate_division_func.hpp
@@ -27,9 +27,10 @@
 };
 
 /** Divides the request rate of an upstream. Each sender may send one request at
- *  once, so the number of senders is limited to one more than the requests per
- *  second. All relays choose the same ones among themselves; only where more
- *  senders than relays are due does each relay give shares to its children.
+ *  any time, so their number grows with the rate only: at most 1 + 1.5 x rate.
+ *  All relays agree on the groups that get a part, and each relay chooses the
+ *  senders of its group. The senders of different upstreams differ, so that the
+ *  rates of several upstreams are spread over the fleet.
  *  @param per_second max. requests per second of all instances */
 rate_division divide_rate(upstream_id const& upstream, double per_second,
                           rate_group const& group);
--- a/tests/entry/upstream_rate_test.cpp
+++ b/tests/entry/upstream_rate_test.cpp
@@ -220,7 +220,6 @@
     auto const began = steady::now();
     CHECK(load_fleet(fleet, began + load_time) == 0);
     CHECK(limited.most_in_window(began + reaction_time) <= max_in_window(rate));
-    // The relays themselves have a quarter of the limit.
     CHECK(limited.count_since(began + load_time - window) >= 0.5 * rate * 4);
 }
 
