Fix: [Serving] an absurd request rate disabled its upstream and the news of the fleet

An upstream that states 1e300 requests a second would have got no request, since the number of senders overflows, and the rate, which becomes infinite in a message, would have made every message of this instance unreadable to its peers.

Cause: the stated number was used without an upper bound.

Ruled out: refusing it in the adapter; an upstream that states a very high rate takes any load, which a bounded limit says too.

Change: limits are bounded to a million requests a second, which binds no fleet.

Figures: the new case fails on the parent commit (shares of 0, limit not finite in a message) and passes now.

Conclusion: fixed before it could be seen outside.

--- a/include/daisylead/serving/upstream_rates_base.hpp
+++ b/include/daisylead/serving/upstream_rates_base.hpp
@@ -36,7 +36,7 @@
 
     /** Records a statement, unless a newer one is known.
      *  @return whether a limit appeared, ended or changed noticeably */
-    bool note(rate_statement const& statement);
+    bool note(rate_statement statement);
 
     /** @return whether the statement has another limit than the known one. */
     bool is_change(rate_statement const& statement) const;
--- a/src/serving/upstream_rates.cpp
+++ b/src/serving/upstream_rates.cpp
@@ -19,6 +19,10 @@
  *  two requests finite. */
 constexpr double min_share = 0.001;
 
+/** Limits above this, requests per second, bind no fleet; the bound keeps them
+ *  within the range of the peer messages. */
+constexpr double max_limit = 1e6;
+
 /** Relative difference from which a limit counts as changed. */
 constexpr double noticeable_change = 0.1;
 
@@ -39,8 +43,13 @@
 {
 }
 
-bool upstream_rates::note(rate_statement const& statement)
+bool upstream_rates::note(rate_statement statement)
 {
+    if (statement.m_per_second)
+    {
+        statement.m_per_second =
+            std::clamp(*statement.m_per_second, 0.0, max_limit);
+    }
     auto const found = m_entries.find(statement.m_upstream);
     if (found == m_entries.end())
     {
--- a/tests/serving/upstream_rates_test.cpp
+++ b/tests/serving/upstream_rates_test.cpp
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <random>
 #include <set>
 
@@ -153,6 +154,20 @@
     CHECK(rates.statements(start + 20s).empty());
 }
 
+TEST_CASE("an absurd limit stays within the range of peer messages")
+{
+    // Guards against an upstream whose answer makes all news unreadable.
+    upstream_rates rates({});
+    rates.note({engine, 1e300, start});
+    REQUIRE(rates.limit(engine));
+    CHECK(std::isfinite(static_cast<float>(*rates.limit(engine))));
+    CHECK(rates.next_send(engine, start + 1ms) <= start + 1ms);
+    for (rate_group const& group : make_fleet(3, 2))
+    {
+        CHECK(divide_rate(engine, *rates.limit(engine), group).m_own > 0);
+    }
+}
+
 TEST_CASE("a granted share lapses without a renewal")
 {
     upstream_rates rates({});
