Change: [Serving] an upstream is asked again 3 s after it last stated a request rate

Cause: the end of a rate shows in an answer only.

Ruled out: a probe of our own (priced, and it takes a place); letting a rate lapse by time (the rate holds for as long as the upstream says so).

Change: where the newest statement is older than 3 s, an upstream whose sender may send costs nothing in the choice, so that the next request goes there. The pace stays that of the share.

Conclusion: the end of a rate is known within about 3 s and one interval of a share.

--- a/include/daisylead/serving/upstream_rates_base.hpp
+++ b/include/daisylead/serving/upstream_rates_base.hpp
@@ -52,6 +52,10 @@
      *          time_point::max(): it has no share in the limit. */
     time_point next_send(upstream_id const& id, time_point now) const;
 
+    /** @return whether the limit was stated so long ago that it may have
+     *          ended. */
+    bool wants_answer(upstream_id const& id, time_point now) const;
+
     /** Records a request that this instance sends to the upstream. */
     void note_sent(upstream_id const& id, time_point now);
 
--- a/src/serving/upstream_pool.cpp
+++ b/src/serving/upstream_pool.cpp
@@ -404,7 +404,10 @@
     for (std::size_t rank = 0; rank < candidates.size(); ++rank)
     {
         entry* const item = candidates[rank].m_entry;
-        duration const estimate = cost(*item, request, rank, now);
+        // Without a request, the end of a request rate limit remains unknown.
+        duration const estimate = m_rates.wants_answer(item->m_record.m_id, now)
+                                      ? duration::zero()
+                                      : cost(*item, request, rank, now);
         if (estimate < min_cost)
         {
             min_cost = estimate;
--- a/src/serving/upstream_rates.cpp
+++ b/src/serving/upstream_rates.cpp
@@ -19,6 +19,10 @@
  *  two requests finite. */
 constexpr double min_share = 0.001;
 
+/** Age of a statement from which an answer is wanted, so that the end of the
+ *  limit becomes known. */
+constexpr duration max_statement_age = std::chrono::seconds(3);
+
 /** Limits above this, requests per second, bind no fleet; the bound keeps them
  *  within the range of the peer messages. */
 constexpr double max_limit = 1e6;
@@ -112,6 +116,13 @@
     return found->second.m_last_sent + interval;
 }
 
+bool upstream_rates::wants_answer(upstream_id const& id, time_point now) const
+{
+    auto const found = m_entries.find(id);
+    return found != m_entries.end() && found->second.m_statement.m_per_second &&
+           now - found->second.m_statement.m_stated_at > max_statement_age;
+}
+
 void upstream_rates::note_sent(upstream_id const& id, time_point now)
 {
     auto const found = m_entries.find(id);
--- a/tests/serving/upstream_pool_test.cpp
+++ b/tests/serving/upstream_pool_test.cpp
@@ -302,6 +302,30 @@
     CHECK_FALSE(pool.place(make_request(), start + 610ms).m_next_send);
 }
 
+TEST_CASE("an upstream with an old request rate is asked although others are "
+          "better")
+{
+    // Guards against a limit whose end nobody notices.
+    upstream_pool pool = make_pool();
+    pool.take_list(make_engines(3), start);
+    upstream_id const limited("e0");
+    pool.note_peer(instance_id("p"), {{limited, 40, 0}});
+    REQUIRE(pool.note_rate({limited, 2.0, start}, 5));
+    int sent = 0;
+    for (time_point now = start; now < start + 3s; now += 10ms)
+    {
+        sent += pool.place(make_request(), now).m_upstream.m_id == limited;
+    }
+    CHECK(sent == 0);
+    for (time_point now = start + 3010ms; now < start + 4s; now += 10ms)
+    {
+        sent += pool.place(make_request(), now).m_upstream.m_id == limited;
+    }
+    CHECK(sent == 2);
+    CHECK_FALSE(pool.note_rate({limited, 2.0, start + 4s}, 5));
+    CHECK(pool.place(make_request(), start + 6s).m_upstream.m_id != limited);
+}
+
 TEST_CASE("an upstream that restarted has no request rate of its former run")
 {
     upstream_pool pool = make_pool();
