--- a/include/daisylead/serving/upstream_rates_base.hpp
+++ b/include/daisylead/serving/upstream_rates_base.hpp
@@ -36,7 +36,7 @@
 
     /** Records a statement, unless a newer one is known.
      *  @return whether a limit appeared, ended or changed noticeably */
-    bool note(rate_statement const& statement);
+    bool note(rate_statement statement);
 
     /** @return whether the statement has another limit than the known one. */
     bool is_change(rate_statement const& statement) const;
@@ -52,6 +52,10 @@
      *          time_point::max(): it has no share in the limit. */
     time_point next_send(upstream_id const& id, time_point now) const;
 
+    /** @return whether the limit was stated so long ago that it may have
+     *          ended. */
+    bool wants_answer(upstream_id const& id, time_point now) const;
+
     /** Records a request that this instance sends to the upstream. */
     void note_sent(upstream_id const& id, time_point now);
 
