Fix: [Entry] instances in one process shared a random generator

Cause: a static generator without a lock. A process runs one instance, so no caller saw it; the new tests run several.

Ruled out: a refusal; up to that failure the log has 1,645 requests that were answered and 4 that ended as caller_left after 688 to 841 ms, when the test had given up.

Change: one generator for each thread; the test waits 3 s for an answer, which still ends with the connection. No check is changed.

--- a/src/entry/fleet_state.cpp
+++ b/src/entry/fleet_state.cpp
@@ -69,7 +69,7 @@
 
 std::uint64_t random_number()
 {
-    static std::mt19937_64 generator{std::random_device{}()};
+    thread_local std::mt19937_64 generator{std::random_device{}()};
     return generator();
 }
 
--- a/tests/entry/upstream_rate_test.cpp
+++ b/tests/entry/upstream_rate_test.cpp
@@ -127,7 +127,8 @@
 std::string answer_of(running_instance& instance)
 {
     return instance.exchange("GET /again/x HTTP/1.1\r\nHost: h\r\nId: a1\r\n"
-                             "Connection: close\r\n\r\n");
+                             "Connection: close\r\n\r\n",
+                             3s);
 }
 
 /** Sends requests one after the other until @p end.
