Add: [Entry] log upstream crashes and the prompt parts of requests that broke off

Change: 'upstream_crashed' with the run of the upstream and the number of requests, the metric daisylead_upstream_crashes_total, and 'parts' in the line of a request of which an attempt broke off (16 at most). No decision changes.

--- a/src/entry/fleet_state.cpp
+++ b/src/entry/fleet_state.cpp
@@ -521,6 +521,21 @@
     }
 }
 
+void fleet_state::note_crash(request::upstream_incarnation const& crash)
+{
+    std::vector<request::quarantine_update> news =
+        m_quarantine.upstream_crashed(crash, boot_time());
+    if (!news.empty())
+    {
+        m_metrics.count("daisylead_upstream_crashes_total");
+        telemetry::log(severity::warning, "upstream_crashed",
+                       {{"upstream", crash.m_upstream.value()},
+                        {"started", crash.m_incarnation.value()},
+                        {"requests", news.size()}});
+    }
+    note_suspects(std::move(news));
+}
+
 void fleet_state::note_suspects(std::vector<request::quarantine_update> news)
 {
     for (request::quarantine_update const& item : news)
--- a/src/entry/fleet_state.hpp
+++ b/src/entry/fleet_state.hpp
@@ -122,6 +122,10 @@
     void apply_rates(serving::load_news const& news, instance_id const& from,
                      bool from_relay, std::optional<time_point> sent_at);
 
+    /** Records that an upstream refuses connections, so that its attempts that
+     *  broke off count as crashes. */
+    void note_crash(request::upstream_incarnation const& crash);
+
     /** Logs news of suspect requests and queues it for the peers. */
     void note_suspects(std::vector<request::quarantine_update> news);
 
--- a/src/entry/request_attempt.cpp
+++ b/src/entry/request_attempt.cpp
@@ -132,8 +132,7 @@
     {
         m_state.m_upstream_pool.note_ended(id, false, tokens);
         m_state.m_upstream_pool.note_unreachable(id, boot_time());
-        m_state.note_suspects(m_state.m_quarantine.upstream_crashed(
-            {id, incarnation(place.m_upstream.m_started)}, boot_time()));
+        m_state.note_crash({id, incarnation(place.m_upstream.m_started)});
         note_attempt(place, "unreachable", began);
         if (++m_unreachable >= max_unreachable)
         {
@@ -344,6 +343,7 @@
         }
     }
     m_silence_watch.reset();
+    m_broken_attempts += outcome == attempt_outcome::broken ? 1 : 0;
     m_state.m_upstream_pool.note_ended(id, first_bytes, tokens);
     m_state.note_suspects(m_state.m_quarantine.attempt_ended(
         current_attempt, outcome, boot_time()));
--- a/src/entry/request_runner.cpp
+++ b/src/entry/request_runner.cpp
@@ -20,8 +20,12 @@
 {
 
 using namespace std::chrono_literals;
+using nlohmann::json;
 using telemetry::severity;
 
+/** Maximum number of prompt parts in the log line of a request. */
+constexpr std::size_t max_logged_parts = 16;
+
 /** Timeout of a request if neither its route nor its caller sets one. */
 constexpr std::chrono::milliseconds default_request_timeout = 30s;
 
@@ -476,6 +480,18 @@
     m_attempts.push_back(std::move(entry));
 }
 
+nlohmann::json request_runner::shared_part_ids() const
+{
+    json ids = json::array();
+    for (std::size_t i = 0;
+         i + 1 < m_description.m_parts.size() && ids.size() < max_logged_parts;
+         ++i)
+    {
+        ids.push_back(m_description.m_parts[i].m_id);
+    }
+    return ids;
+}
+
 void request_runner::log_end()
 {
     time_point const now = boot_time();
@@ -493,6 +509,7 @@
     telemetry::log(
         severity::info, "request",
         {{"request", m_description.m_id},
+         {"parts", m_broken_attempts > 0 ? shared_part_ids() : json::array()},
          {"route", m_route.m_id.value()},
          {"service", m_service.value()},
          {"organisation", m_owner.value()},
--- a/src/entry/request_runner.hpp
+++ b/src/entry/request_runner.hpp
@@ -69,6 +69,7 @@
     awaitable<void> refuse(refusal const& reason);
     void note_attempt(serving::placement const& place, std::string outcome,
                       time_point began);
+    nlohmann::json shared_part_ids() const;
     void log_end();
 
     fleet_state& m_state;
@@ -91,7 +92,8 @@
     time_point m_deadline;
     std::set<upstream_id> m_tried;
     int m_sends = 0; ///< sends of which a byte may have left this instance
-    int m_possible_runs = 0; ///< sends that an upstream may have run
+    int m_possible_runs = 0;   ///< sends that an upstream may have run
+    int m_broken_attempts = 0; ///< attempts whose connection broke
     int m_unreachable = 0; ///< upstreams that refused or timed out connections
     std::shared_ptr<http_connection> m_upstream; ///< of the current attempt
     std::optional<silence_detector::watch>
