Fix: [Request] prompts that share a crashing part crashed upstream after upstream

Cause: suspects were identified by organisation and digest of path and body, and no two of these requests are alike. Class: evidence is counted by the whole request while the cause is a property that requests share.

Ruled out: news that is late or lost, crashes that are not attributed.

Change: request::part_quarantine counts crashes by prompt part and merges them with those of the peers by the run that ended; a complete answer refutes the crashes of its parts; three moments of crashes without an answer block a part, unless another blocked part that the request lacks explains them. A broken connection of a prompt is checked by a new one at once. Blocks travel by digest, are written to the store by one instance, and are known before an instance is ready.

--- a/include/daisylead/entry/adapter_type.hpp
+++ b/include/daisylead/entry/adapter_type.hpp
@@ -150,6 +150,16 @@
                                          instance_id const& holder,
                                          duration since_last_order)>
         m_write_lease;
+    /** Reads the blocked prompt parts; nothing if the store did not answer. */
+    std::function<
+        awaitable<std::optional<std::vector<request::blocked_part>>>()>
+        m_read_blocked_parts;
+    /** Records a blocked prompt part. @return whether it is stored */
+    std::function<awaitable<bool>(request::blocked_part const&)>
+        m_write_blocked_part;
+    /** Removes the record of a prompt part that is no longer blocked.
+     *  @return whether it is removed */
+    std::function<awaitable<bool>(request::part_digest)> m_erase_blocked_part;
     /** Asks an engine for its state. */
     std::function<awaitable<std::optional<engine_report>>(
         upstream_id const&, std::string const& address)>
--- a/include/daisylead/serving/fleet_news_type.hpp
+++ b/include/daisylead/serving/fleet_news_type.hpp
@@ -1,6 +1,7 @@
 /** @file State that instances exchange with their peers. */
 #pragma once
 
+#include <daisylead/request/part_quarantine_base.hpp>
 #include <daisylead/request/quarantine_base.hpp>
 #include <daisylead/serving/quota_limiter_base.hpp>
 #include <daisylead/serving/upstream_pool_base.hpp>
@@ -130,6 +131,16 @@
     /** Since the last message. */
     std::vector<request::quarantine_update> m_suspects;
     /** Since the last message. */
+    std::vector<request::crash_report> m_crashes;
+    /** Prompt parts with crashes that had a complete answer since; since the
+     *  last message. */
+    std::vector<request::part_digest> m_answered_parts;
+    /** The sender knows which prompt parts are blocked. */
+    bool m_knows_blocked_parts = false;
+    std::uint64_t m_blocked_digest = 0; ///< of the blocked prompt parts
+    /** All blocked prompt parts, if the peer's digest differs. */
+    std::vector<request::blocked_part> m_blocked_parts;
+    /** Since the last message. */
     std::vector<leaving_upstream> m_leaving_upstreams;
     /** Changes when the KV cache store restarts. */
     std::int64_t m_kv_store_epoch = 0;
--- a/include/daisylead/serving/fleet_roster_base.hpp
+++ b/include/daisylead/serving/fleet_roster_base.hpp
@@ -52,6 +52,10 @@
 {
     /** Requests suspected of crashing upstreams. */
     std::vector<request::quarantine_update> m_suspects;
+    /** Crashes of upstreams. */
+    std::vector<request::crash_report> m_crashes;
+    /** Prompt parts that are not the cause of these crashes. */
+    std::vector<request::part_digest> m_answered_parts;
     /** Hashes of prefixes saved in the KV cache store. */
     std::vector<std::uint64_t> m_saved;
     /** Upstreams that announced that they leave. */
@@ -78,6 +82,7 @@
     time_point m_backoff_until;   ///< not chosen as relay before this time
     std::uint64_t m_weights_token = 0;  ///< its fencing token, see fleet_news
     std::uint64_t m_weights_number = 0; ///< see fleet_news
+    std::uint64_t m_blocked_digest = 0; ///< see fleet_news
     news_outbox m_outbox;
 };
 
--- a/src/entry/caller_server.cpp
+++ b/src/entry/caller_server.cpp
@@ -114,9 +114,11 @@
 
 caller_server::caller_server(asio::any_io_executor const& executor,
                              std::string const& address, fleet_state& state,
-                             connection_pool& pool, silence_detector& silence)
+                             connection_pool& pool, silence_detector& silence,
+                             crash_detector& crashes)
     : m_executor(executor), m_acceptor(make_acceptor(executor, address)),
-      m_state(state), m_pool(pool), m_silence_detector(silence)
+      m_state(state), m_pool(pool), m_silence_detector(silence),
+      m_crash_detector(crashes)
 {
 }
 
@@ -230,8 +232,8 @@
             co_await reject(caller, 503, "this instance shuts down");
             break;
         }
-        request_runner runner(m_state, m_pool, m_silence_detector, caller,
-                              parser.release());
+        request_runner runner(m_state, m_pool, m_silence_detector,
+                              m_crash_detector, caller, parser.release());
         open = co_await runner.run();
     }
     co_await caller->linger_and_close();
--- a/src/entry/caller_server.hpp
+++ b/src/entry/caller_server.hpp
@@ -15,7 +15,8 @@
     /** @throws daisylead::error if the address cannot be used */
     caller_server(asio::any_io_executor const& executor,
                   std::string const& address, fleet_state& state,
-                  connection_pool& pool, silence_detector& silence);
+                  connection_pool& pool, silence_detector& silence,
+                  crash_detector& crashes);
 
     /** Starts to accept. */
     void start();
@@ -35,6 +36,7 @@
     fleet_state& m_state;
     connection_pool& m_pool;
     silence_detector& m_silence_detector;
+    crash_detector& m_crash_detector;
     std::set<std::shared_ptr<caller_connection>> m_idle;
     bool m_closing = false;
 };
--- /dev/null
+++ b/src/entry/crash_detector.cpp
@@ -0,0 +1,49 @@
+/** @file Detection of upstreams that crashed. */
+#include "crash_detector.hpp"
+
+#include "http_connection.hpp"
+#include "keep_running_func.hpp"
+
+namespace daisylead::entry
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/** Timeout of the connection; a port without a listener refuses it at once. */
+constexpr std::chrono::milliseconds probe_timeout = 300ms;
+
+} // namespace
+
+crash_detector::crash_detector(boost::asio::any_io_executor executor,
+                               fleet_state& state)
+    : m_executor(std::move(executor)), m_state(state)
+{
+}
+
+void crash_detector::check(serving::upstream_record const& upstream)
+{
+    if (m_in_progress.insert(upstream.m_id).second)
+    {
+        run_once(m_executor, "crash_probe",
+                 [this, upstream] { return probe(upstream); });
+    }
+}
+
+awaitable<void> crash_detector::probe(serving::upstream_record upstream)
+{
+    auto const connection =
+        std::make_shared<http_connection>(m_executor, upstream.m_address);
+    bool const reached = co_await connection->connect(probe_timeout);
+    connection->abort();
+    m_in_progress.erase(upstream.m_id);
+    if (!reached)
+    {
+        m_state.m_upstream_pool.note_unreachable(upstream.m_id, boot_time());
+        m_state.note_crash({upstream.m_id, incarnation(upstream.m_started)});
+    }
+}
+
+} // namespace daisylead::entry
--- /dev/null
+++ b/src/entry/crash_detector.hpp
@@ -0,0 +1,29 @@
+/** @file Detection of upstreams that crashed. */
+#pragma once
+
+#include "fleet_state.hpp"
+
+#include <set>
+
+namespace daisylead::entry
+{
+
+/** Checks by a new connection whether an upstream whose connection broke has
+ *  crashed. */
+class crash_detector
+{
+public:
+    crash_detector(boost::asio::any_io_executor executor, fleet_state& state);
+
+    /** Starts a check, unless one of this upstream is in progress. */
+    void check(serving::upstream_record const& upstream);
+
+private:
+    awaitable<void> probe(serving::upstream_record upstream);
+
+    boost::asio::any_io_executor m_executor;
+    fleet_state& m_state;
+    std::set<upstream_id> m_in_progress;
+};
+
+} // namespace daisylead::entry
--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -65,11 +65,13 @@
                   unix_milliseconds()),
           m_pool(context.get_executor()),
           m_silence_detector(context.get_executor(), m_state),
+          m_crash_detector(context.get_executor(), m_state),
           m_exchange(context.get_executor(), m_state, make_transport),
           m_store_poller(context.get_executor(), m_state, m_exchange),
           m_rollout(context.get_executor(), m_state, m_exchange),
           m_caller_server(context.get_executor(), settings.m_caller_address,
-                          m_state, m_pool, m_silence_detector),
+                          m_state, m_pool, m_silence_detector,
+                          m_crash_detector),
           m_readiness_server(
               context.get_executor(), settings.m_readiness_address,
               [this](std::string const& path) { return readiness(path); }),
@@ -252,6 +254,7 @@
     fleet_state m_state;
     connection_pool m_pool;
     silence_detector m_silence_detector;
+    crash_detector m_crash_detector;
     fleet_exchange m_exchange;
     store_poller m_store_poller;
     rollout_controller m_rollout;
--- a/src/entry/fleet_exchange.cpp
+++ b/src/entry/fleet_exchange.cpp
@@ -51,6 +51,15 @@
     return state;
 }
 
+void add_items(serving::fleet_news& news, serving::news_outbox items)
+{
+    news.m_suspects = std::move(items.m_suspects);
+    news.m_crashes = std::move(items.m_crashes);
+    news.m_answered_parts = std::move(items.m_answered_parts);
+    news.m_saved = std::move(items.m_saved);
+    news.m_leaving_upstreams = std::move(items.m_leaving);
+}
+
 } // namespace
 
 fleet_exchange::fleet_exchange(asio::any_io_executor const& executor,
@@ -133,6 +142,12 @@
         child ? m_state.m_upstream_pool.in_flight_without(to, min_reported_load)
               : m_state.m_upstream_pool.own_in_flight());
     m_state.add_rates(news.m_load, peer, now);
+    news.m_knows_blocked_parts = m_state.m_knows_blocked_parts;
+    news.m_blocked_digest = m_state.m_part_quarantine.blocked_digest();
+    if (peer != nullptr && peer->m_blocked_digest != news.m_blocked_digest)
+    {
+        news.m_blocked_parts = m_state.m_part_quarantine.blocked_parts();
+    }
     news.m_kv_store_epoch = m_state.m_kv_store_epoch;
     if (m_state.m_kv_store_answered_at)
     {
@@ -196,9 +211,7 @@
     serving::fleet_news news = make_news(&peer);
     news.m_wants_members = !peer.m_knows_members;
     serving::news_outbox items = std::exchange(peer.m_outbox, {});
-    news.m_suspects = std::move(items.m_suspects);
-    news.m_saved = std::move(items.m_saved);
-    news.m_leaving_upstreams = std::move(items.m_leaving);
+    add_items(news, std::move(items));
     send(peer.m_member.m_address, std::move(news), id);
 }
 
@@ -316,6 +329,7 @@
     {
         m_state.m_quarantine.on_peer_update(suspect, now);
     }
+    m_state.apply_crash_evidence(news);
     for (std::uint64_t const prefix : news.m_saved)
     {
         m_state.note_saved(prefix);
@@ -453,9 +467,7 @@
     if (relation == peer_relation::child)
     {
         serving::news_outbox items = std::exchange(peer.m_outbox, {});
-        reply.m_suspects = std::move(items.m_suspects);
-        reply.m_saved = std::move(items.m_saved);
-        reply.m_leaving_upstreams = std::move(items.m_leaving);
+        add_items(reply, std::move(items));
         peer.m_urgent = false;
     }
     bool const relays_differ = relation == peer_relation::child &&
--- a/src/entry/fleet_state.cpp
+++ b/src/entry/fleet_state.cpp
@@ -102,7 +102,7 @@
       m_retries({settings.m_retry_ratio,
                  static_cast<double>(settings.m_retry_extra),
                  settings.m_retry_window}),
-      m_quarantine({quarantine_period}),
+      m_quarantine({quarantine_period}), m_part_quarantine({}),
       m_roster({}, self_as_member(settings, started), boot_time()),
       m_executor(executor), m_started(boot_time()), m_saved(max_saved_prefixes)
 {
@@ -251,7 +251,7 @@
 bool fleet_state::is_ready(time_point now) const
 {
     return m_catalog && !m_draining && m_upstreams_read_at &&
-           are_keys_fresh(now);
+           m_knows_blocked_parts && are_keys_fresh(now);
 }
 
 void fleet_state::note_member(serving::member const& member, bool from_itself)
@@ -534,6 +534,110 @@
                         {"requests", news.size()}});
     }
     note_suspects(std::move(news));
+    request::crash_report report =
+        m_part_quarantine.upstream_crashed(crash, boot_time());
+    if (!report.m_parts.empty())
+    {
+        log_blocked_parts("answer");
+        serving::news_outbox items;
+        items.m_crashes.push_back(std::move(report));
+        send_to_peers(items, {});
+    }
+}
+
+void fleet_state::note_attempt_ended(attempt_id const& attempt,
+                                     request::attempt_outcome outcome)
+{
+    serving::news_outbox items;
+    items.m_answered_parts =
+        m_part_quarantine.attempt_ended(attempt, outcome, boot_time());
+    if (!items.m_answered_parts.empty())
+    {
+        log_blocked_parts("answer");
+        send_to_peers(items, {});
+    }
+}
+
+void fleet_state::apply_crash_evidence(serving::fleet_news const& news)
+{
+    instance_id const& from = news.m_member.m_id;
+    time_point const now = boot_time();
+    for (request::crash_report const& report : news.m_crashes)
+    {
+        m_part_quarantine.on_peer_crash(report, now);
+    }
+    m_part_quarantine.on_peer_answers(news.m_answered_parts);
+    serving::news_outbox refuted;
+    refuted.m_answered_parts =
+        m_part_quarantine.on_blocked_parts(news.m_blocked_parts, now);
+    m_knows_blocked_parts =
+        m_knows_blocked_parts ||
+        (news.m_knows_blocked_parts &&
+         news.m_blocked_digest == m_part_quarantine.blocked_digest());
+    log_blocked_parts("peer " + from.value());
+    if (!refuted.m_answered_parts.empty())
+    {
+        send_to_peers(refuted, {});
+    }
+    serving::news_outbox items;
+    items.m_crashes = news.m_crashes;
+    items.m_answered_parts = news.m_answered_parts;
+    if (!items.m_crashes.empty() || !items.m_answered_parts.empty())
+    {
+        send_to_peers(items, from);
+    }
+}
+
+void fleet_state::apply_stored_blocks(
+    std::vector<request::blocked_part> const& parts)
+{
+    m_part_quarantine.on_blocked_parts(parts, boot_time());
+    m_knows_blocked_parts = true;
+    log_blocked_parts("store");
+}
+
+void fleet_state::expire_blocked_parts()
+{
+    m_part_quarantine.take_expired(boot_time());
+    log_blocked_parts("expiry");
+}
+
+void fleet_state::send_to_peers(serving::news_outbox const& items,
+                                instance_id const& from)
+{
+    m_roster.enqueue(items, from, boot_time());
+    if (m_on_urgent_news)
+    {
+        m_on_urgent_news();
+    }
+}
+
+void fleet_state::log_blocked_parts(std::string const& source)
+{
+    std::set<request::part_digest> blocked;
+    for (request::blocked_part const& part : m_part_quarantine.blocked_parts())
+    {
+        blocked.insert(part.m_part);
+        if (!m_logged_blocks.contains(part.m_part))
+        {
+            m_unblocked_parts.erase(part.m_part);
+            telemetry::log(severity::warning, "part_blocked",
+                           {{"part", static_cast<std::uint64_t>(part.m_part)},
+                            {"crashes", part.m_crashes.size()},
+                            {"source", source}});
+        }
+    }
+    for (request::part_digest const part : m_logged_blocks)
+    {
+        if (!blocked.contains(part))
+        {
+            m_unblocked_parts.insert(part);
+            telemetry::log(severity::info, "part_unblocked",
+                           {{"part", static_cast<std::uint64_t>(part)},
+                            {"source", source}});
+        }
+    }
+    m_logged_blocks = std::move(blocked);
 }
 
 void fleet_state::note_suspects(std::vector<request::quarantine_update> news)
@@ -692,6 +796,8 @@
             {"ready", is_ready(now)},
             {"draining", m_draining},
             {"active_requests", *m_active_requests},
+            {"blocked_parts", m_part_quarantine.blocked_parts().size()},
+            {"suspect_parts", m_part_quarantine.suspects()},
             {"relay", m_roster.is_relay(now)},
             {"reports_to", m_roster.relay().value()},
             {"fleet_size", m_roster.fleet_size(now)},
--- a/src/entry/fleet_state.hpp
+++ b/src/entry/fleet_state.hpp
@@ -17,6 +17,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 
 namespace daisylead::entry
 {
@@ -126,6 +127,23 @@
      *  broke off count as crashes. */
     void note_crash(request::upstream_incarnation const& crash);
 
+    /** Records the end of an attempt for the quarantine of prompt parts. */
+    void note_attempt_ended(attempt_id const& attempt,
+                            request::attempt_outcome outcome);
+
+    /** Applies the crashes, answers and blocked prompt parts of a peer. */
+    void apply_crash_evidence(serving::fleet_news const& news);
+
+    /** Applies the blocked prompt parts that the store holds. */
+    void apply_stored_blocks(std::vector<request::blocked_part> const& parts);
+
+    /** Ends the blocks of prompt parts that are no longer requested. */
+    void expire_blocked_parts();
+
+    /** Prompt parts that were blocked and whose record in the store must be
+     *  removed. */
+    std::set<request::part_digest> m_unblocked_parts;
+
     /** Logs news of suspect requests and queues it for the peers. */
     void note_suspects(std::vector<request::quarantine_update> news);
 
@@ -170,6 +188,8 @@
     serving::quota_limiter m_quotas;
     serving::retry_throttle m_retries;
     request::quarantine m_quarantine;
+    request::part_quarantine m_part_quarantine;
+    bool m_knows_blocked_parts = false; ///< from the store or a peer
     serving::fleet_roster m_roster;
     std::uint64_t m_weights_token = 0;  ///< of the newest known holder
     std::uint64_t m_weights_number = 0; ///< newest news of that holder
@@ -196,6 +216,10 @@
     request::lru_map<std::uint64_t, time_point> m_saved;
     double rate_share(upstream_id const& id, double per_second,
                       time_point now) const;
+    void send_to_peers(serving::news_outbox const& items,
+                       instance_id const& from);
+    void log_blocked_parts(std::string const& source);
+    std::set<request::part_digest> m_logged_blocks;
     void apply_catalog(serving::catalog catalog, time_point named_at);
     void apply_upstreams(bool changed, std::uint64_t revision,
                          time_point read_at, std::string const& source);
--- a/src/entry/request_attempt.cpp
+++ b/src/entry/request_attempt.cpp
@@ -155,6 +155,18 @@
                         : *refused;
         co_return next_action::refuse;
     }
+    // The crashes that block a part may have come while the request was held,
+    // or an earlier attempt may be one of them.
+    if (auto refused = check_parts(boot_time()))
+    {
+        m_state.m_upstream_pool.note_ended(id, false, tokens);
+        m_upstream->abort();
+        m_refusal = m_possible_runs > 0
+                        ? refusal{502, refused->m_code, refused->m_message,
+                                  std::nullopt}
+                        : *refused;
+        co_return next_action::refuse;
+    }
     auto const left = time_left();
     if (left < 1ms || m_caller->is_gone())
     {
@@ -168,6 +180,9 @@
     m_state.m_quarantine.attempt_begun(
         current_attempt, m_suspect,
         {id, incarnation(place.m_upstream.m_started)});
+    m_state.m_part_quarantine.attempt_begun(
+        current_attempt, m_shared_parts,
+        {id, incarnation(place.m_upstream.m_started)});
     m_upstream->begin(make_upstream_request(place, left),
                       left + deadline_answer_margin);
 
@@ -300,6 +315,8 @@
         {
             ++m_possible_runs;
             m_state.m_upstream_pool.note_first_bytes(id);
+            m_state.m_part_quarantine.answer_begun(current_attempt,
+                                                   boot_time());
             first_bytes = true;
             bool const genuine = info.m_sealed && !info.m_encoded;
             if (success && !genuine)
@@ -343,7 +360,22 @@
         }
     }
     m_silence_watch.reset();
-    m_broken_attempts += outcome == attempt_outcome::broken ? 1 : 0;
+    bool const success = read_result == io_result::ok &&
+                         m_upstream->status() >= 200 &&
+                         m_upstream->status() < 300;
+    // An error answer does not show that the prompt can be processed.
+    m_state.note_attempt_ended(current_attempt,
+                               outcome == attempt_outcome::complete && !success
+                                   ? attempt_outcome::cancelled
+                                   : outcome);
+    if (outcome == attempt_outcome::broken)
+    {
+        ++m_broken_attempts;
+        if (!m_shared_parts.empty())
+        {
+            m_crash_detector.check(place.m_upstream);
+        }
+    }
     m_state.m_upstream_pool.note_ended(id, first_bytes, tokens);
     m_state.note_suspects(m_state.m_quarantine.attempt_ended(
         current_attempt, outcome, boot_time()));
--- a/src/entry/request_runner.cpp
+++ b/src/entry/request_runner.cpp
@@ -26,6 +26,10 @@
 /** Maximum number of prompt parts in the log line of a request. */
 constexpr std::size_t max_logged_parts = 16;
 
+/** Maximum number of prompt parts of a request that can be suspected of
+ *  crashes, so that one request cannot fill the table of suspects. */
+constexpr std::size_t max_tracked_parts = 64;
+
 /** Timeout of a request if neither its route nor its caller sets one. */
 constexpr std::chrono::milliseconds default_request_timeout = 30s;
 
@@ -54,6 +58,10 @@
  *  used up; the end of a limit becomes known within that time. */
 constexpr duration max_rate_retry_delay = 5s;
 
+/** Retry-After of callers whose prompt has a blocked part. The block lasts as
+ *  long as such requests come. */
+constexpr duration blocked_part_retry_delay = 10min;
+
 /** Retry-After of callers when this instance lacks data that it or another
  *  instance will soon have. */
 constexpr duration stale_config_retry_delay = 300ms;
@@ -62,10 +70,12 @@
 
 request_runner::request_runner(fleet_state& state, connection_pool& pool,
                                silence_detector& silence,
+                               crash_detector& crashes,
                                std::shared_ptr<caller_connection> caller,
                                http::request<http::string_body> request)
     : m_state(state), m_pool(pool), m_silence_detector(silence),
-      m_caller(std::move(caller)), m_request(std::move(request))
+      m_crash_detector(crashes), m_caller(std::move(caller)),
+      m_request(std::move(request))
 {
 }
 
@@ -163,12 +173,21 @@
         serving::prompt_part const& part = m_description.m_parts[i];
         m_prefix = XXH64(part.m_id.data(), part.m_id.size(), m_prefix + 1);
         m_prefix_tokens += part.m_tokens;
+        if (m_shared_parts.size() < max_tracked_parts)
+        {
+            m_shared_parts.push_back(request::digest_of_part(part.m_id));
+        }
     }
     if (auto refused = check_quota(m_began))
     {
         return refused;
     }
-    if (auto refused = check_quarantine(m_began))
+    auto refused = check_quarantine(m_began);
+    if (!refused)
+    {
+        refused = check_parts(m_began);
+    }
+    if (refused)
     {
         m_state.m_quotas.refund(m_owner, m_cost);
         return refused;
@@ -257,6 +276,32 @@
     return std::nullopt;
 }
 
+std::optional<request_runner::refusal>
+request_runner::check_parts(time_point now)
+{
+    if (m_shared_parts.empty())
+    {
+        return std::nullopt;
+    }
+    if (!m_state.m_knows_blocked_parts)
+    {
+        return refusal{503, "blocked_parts_unknown",
+                       "this instance does not know yet which prompts crash "
+                       "upstreams",
+                       stale_config_retry_delay};
+    }
+    auto const part =
+        m_state.m_part_quarantine.find_blocked(m_shared_parts, now);
+    if (!part)
+    {
+        return std::nullopt;
+    }
+    m_state.m_metrics.count("daisylead_blocked_part_requests_total");
+    return refusal{503, "part_blocked",
+                   "a part of this prompt crashed upstreams",
+                   blocked_part_retry_delay};
+}
+
 service_id request_runner::choose_service() const
 {
     std::int64_t total = 0;
--- a/src/entry/request_runner.hpp
+++ b/src/entry/request_runner.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "caller_connection.hpp"
+#include "crash_detector.hpp"
 #include "fleet_state.hpp"
 #include "silence_detector.hpp"
 
@@ -21,7 +22,7 @@
 {
 public:
     request_runner(fleet_state& state, connection_pool& pool,
-                   silence_detector& silence,
+                   silence_detector& silence, crash_detector& crashes,
                    std::shared_ptr<caller_connection> caller,
                    http::request<http::string_body> request);
 
@@ -50,6 +51,7 @@
     std::optional<refusal> check_key(time_point now);
     std::optional<refusal> check_quota(time_point now);
     std::optional<refusal> check_quarantine(time_point now);
+    std::optional<refusal> check_parts(time_point now);
     service_id choose_service() const;
     token_count upstream_capacity() const;
     awaitable<std::optional<serving::placement>> wait_for_placement();
@@ -75,6 +77,7 @@
     fleet_state& m_state;
     connection_pool& m_pool;
     silence_detector& m_silence_detector;
+    crash_detector& m_crash_detector;
     std::shared_ptr<caller_connection> m_caller;
     http::request<http::string_body> m_request;
     serving::request_description m_description;
@@ -88,6 +91,8 @@
     std::uint64_t m_prefix = 0;    ///< hash of the shared prompt parts
     token_count m_prefix_tokens;   ///< size of the shared prompt parts
     request::suspect_id m_suspect; ///< identity for the quarantine
+    /** Parts of the prompt that other requests may share. */
+    std::vector<request::part_digest> m_shared_parts;
     time_point m_began;
     time_point m_deadline;
     std::set<upstream_id> m_tried;
--- a/src/entry/store_poller.cpp
+++ b/src/entry/store_poller.cpp
@@ -61,6 +61,12 @@
  *  their share of the limits. */
 constexpr duration start_phase = 5s;
 
+/** Interval of expiring blocked prompt parts and of recording them. */
+constexpr std::chrono::milliseconds blocked_parts_interval = 300ms;
+
+/** Delay per rank before an instance records a blocked prompt part. */
+constexpr duration store_rank_delay = 1s;
+
 /** Maximum number of steps by which the delay before the next read of a
  *  missing first configuration grows with the rank. */
 constexpr std::size_t max_absent_rank_steps = 8;
@@ -93,6 +99,8 @@
     keep_running(m_executor, "upstreams", [this] { return upstreams_loop(); });
     keep_running(m_executor, "members", [this] { return members_loop(); });
     keep_running(m_executor, "kv_store", [this] { return kv_store_loop(); });
+    keep_running(m_executor, "blocked_parts",
+                 [this] { return blocked_parts_loop(); });
 }
 
 duration store_poller::read_due_age(time_point now) const
@@ -251,6 +259,77 @@
     }
 }
 
+awaitable<void> store_poller::blocked_parts_loop()
+{
+    // Blocks must be known before the first prompt is sent on.
+    while (!m_state.m_knows_blocked_parts)
+    {
+        std::optional<std::vector<request::blocked_part>> const parts =
+            co_await m_state.m_adapter.m_read_blocked_parts();
+        if (parts)
+        {
+            m_state.apply_stored_blocks(*parts);
+            m_exchange.send_now();
+        }
+        else
+        {
+            co_await pause(m_executor, retry_delay);
+        }
+    }
+    for (;;)
+    {
+        co_await pause(m_executor, blocked_parts_interval);
+        m_state.expire_blocked_parts();
+        co_await store_blocked_parts();
+        co_await erase_unblocked_parts();
+    }
+}
+
+awaitable<void> store_poller::store_blocked_parts()
+{
+    for (request::blocked_part const& part :
+         m_state.m_part_quarantine.blocked_parts())
+    {
+        time_point const now = boot_time();
+        time_point const noted_at =
+            m_unstored_since.try_emplace(part.m_part, now).first->second;
+        duration const wait =
+            store_rank_delay * static_cast<int>(m_state.m_roster.rank(now));
+        if (part.m_stored || now - noted_at < wait)
+        {
+            continue;
+        }
+        bool const stored =
+            co_await m_state.m_adapter.m_write_blocked_part(part);
+        telemetry::log(stored ? severity::info : severity::warning,
+                       "part_block_stored",
+                       {{"part", static_cast<std::uint64_t>(part.m_part)},
+                        {"stored", stored}});
+        if (!stored)
+        {
+            break;
+        }
+        m_state.m_part_quarantine.note_stored(part.m_part);
+        m_exchange.send_now();
+    }
+}
+
+awaitable<void> store_poller::erase_unblocked_parts()
+{
+    std::set<request::part_digest> const parts =
+        std::exchange(m_state.m_unblocked_parts, {});
+    for (request::part_digest const part : parts)
+    {
+        m_unstored_since.erase(part);
+        // One instance is enough. A row that is left over is refuted by the
+        // peers of the instance that reads it.
+        if (m_state.m_roster.rank(boot_time()) == 0)
+        {
+            co_await m_state.m_adapter.m_erase_blocked_part(part);
+        }
+    }
+}
+
 awaitable<void> store_poller::members_loop()
 {
     bool written = false;
--- a/src/entry/store_poller.hpp
+++ b/src/entry/store_poller.hpp
@@ -3,6 +3,8 @@
 
 #include "fleet_exchange.hpp"
 
+#include <map>
+
 namespace daisylead::entry
 {
 
@@ -21,6 +23,9 @@
     awaitable<void> rules_loop();
     awaitable<void> upstreams_loop();
     awaitable<void> members_loop();
+    awaitable<void> blocked_parts_loop();
+    awaitable<void> store_blocked_parts();
+    awaitable<void> erase_unblocked_parts();
     awaitable<void> kv_store_loop();
     duration read_due_age(time_point now) const;
     std::chrono::milliseconds read_retry_delay(time_point now) const;
@@ -31,6 +36,8 @@
     boost::asio::any_io_executor m_executor;
     fleet_state& m_state;
     fleet_exchange& m_exchange;
+    /** When this instance learnt of blocked prompt parts. */
+    std::map<request::part_digest, time_point> m_unstored_since;
 };
 
 } // namespace daisylead::entry
--- a/src/peer/codec.cpp
+++ b/src/peer/codec.cpp
@@ -257,6 +257,51 @@
     }
 }
 
+void encode_crash(request::upstream_incarnation const& crash,
+                  wire::Crash::Builder target)
+{
+    target.setUpstream(to_text(crash.m_upstream.value()));
+    target.setIncarnation(crash.m_incarnation.value());
+}
+
+void encode_parts(std::vector<request::part_digest> const& parts,
+                  capnp::List<std::uint64_t>::Builder list)
+{
+    for (unsigned i = 0; i < size_of(parts); ++i)
+    {
+        list.set(i, static_cast<std::uint64_t>(parts[i]));
+    }
+}
+
+void encode_crash_evidence(serving::fleet_news const& body,
+                           wire::FleetNews::Builder item)
+{
+    auto crashes = item.initCrashes(size_of(body.m_crashes));
+    for (unsigned i = 0; i < size_of(body.m_crashes); ++i)
+    {
+        request::crash_report const& report = body.m_crashes[i];
+        encode_crash(report.m_crash, crashes[i].initCrash());
+        encode_parts(report.m_parts,
+                     crashes[i].initParts(size_of(report.m_parts)));
+    }
+    encode_parts(body.m_answered_parts,
+                 item.initAnsweredParts(size_of(body.m_answered_parts)));
+    auto blocked = item.initBlockedParts(size_of(body.m_blocked_parts));
+    for (unsigned i = 0; i < size_of(body.m_blocked_parts); ++i)
+    {
+        request::blocked_part const& entry = body.m_blocked_parts[i];
+        blocked[i].setPart(static_cast<std::uint64_t>(entry.m_part));
+        blocked[i].setStored(entry.m_stored);
+        auto blamed = blocked[i].initCrashes(size_of(entry.m_crashes));
+        for (unsigned j = 0; j < size_of(entry.m_crashes); ++j)
+        {
+            encode_crash(entry.m_crashes[j], blamed[j]);
+        }
+    }
+    item.setBlockedDigest(body.m_blocked_digest);
+    item.setKnowsBlockedParts(body.m_knows_blocked_parts);
+}
+
 void encode_body(quarantine_news const& body, builder target)
 {
     encode_suspects(body.m_entries,
@@ -433,6 +478,7 @@
     encode_weights(body.m_weights, item.initWeights(size_of(body.m_weights)));
     encode_suspects(body.m_suspects,
                     item.initSuspects(size_of(body.m_suspects)));
+    encode_crash_evidence(body, item);
     auto leaving = item.initLeavingUpstreams(size_of(body.m_leaving_upstreams));
     for (unsigned i = 0; i < size_of(body.m_leaving_upstreams); ++i)
     {
@@ -566,6 +612,46 @@
     return entries;
 }
 
+request::upstream_incarnation decode_crash(wire::Crash::Reader source)
+{
+    return {upstream_id(from_text(source.getUpstream())),
+            incarnation(source.getIncarnation())};
+}
+
+std::vector<request::part_digest>
+decode_parts(capnp::List<std::uint64_t>::Reader list)
+{
+    std::vector<request::part_digest> parts;
+    for (std::uint64_t const part : list)
+    {
+        parts.push_back(request::part_digest(part));
+    }
+    return parts;
+}
+
+void decode_crash_evidence(wire::FleetNews::Reader item,
+                           serving::fleet_news& body)
+{
+    for (auto const report : item.getCrashes())
+    {
+        body.m_crashes.push_back(
+            {decode_crash(report.getCrash()), decode_parts(report.getParts())});
+    }
+    body.m_answered_parts = decode_parts(item.getAnsweredParts());
+    for (auto const entry : item.getBlockedParts())
+    {
+        request::blocked_part part{
+            request::part_digest(entry.getPart()), {}, entry.getStored()};
+        for (auto const crash : entry.getCrashes())
+        {
+            part.m_crashes.push_back(decode_crash(crash));
+        }
+        body.m_blocked_parts.push_back(std::move(part));
+    }
+    body.m_blocked_digest = item.getBlockedDigest();
+    body.m_knows_blocked_parts = item.getKnowsBlockedParts();
+}
+
 quarantine_news decode_quarantine(reader source)
 {
     return {decode_suspects(source.getQuarantine())};
@@ -713,6 +799,7 @@
              entry.getNumber()});
     }
     body.m_suspects = decode_suspects(item.getSuspects());
+    decode_crash_evidence(item, body);
     for (auto const entry : item.getLeavingUpstreams())
     {
         body.m_leaving_upstreams.push_back(
--- a/src/peer/peer.capnp
+++ b/src/peer/peer.capnp
@@ -194,6 +194,22 @@
   number @5 :UInt64;
 }
 
+struct Crash {
+  upstream @0 :Text;
+  incarnation @1 :Int64;
+}
+
+struct CrashReport {
+  crash @0 :Crash;
+  parts @1 :List(UInt64);
+}
+
+struct BlockedPart {
+  part @0 :UInt64;
+  crashes @1 :List(Crash);
+  stored @2 :Bool;
+}
+
 struct NamedWeights {
   model @0 :Text;
   version @1 :Int64;
@@ -228,4 +244,9 @@
   weightsNumber @24 :UInt64;
   leavingUpstreams @25 :List(LeavingUpstream);
   told @26 :UseTotals;
+  crashes @27 :List(CrashReport);
+  answeredParts @28 :List(UInt64);
+  blockedParts @29 :List(BlockedPart);
+  blockedDigest @30 :UInt64;
+  knowsBlockedParts @31 :Bool;
 }
--- a/src/serving/fleet_roster.cpp
+++ b/src/serving/fleet_roster.cpp
@@ -391,7 +391,9 @@
 {
     bool const relay = is_relay(now);
     bool const from_relay = is_from_relay(from);
-    bool const urgent = !items.m_suspects.empty() || !items.m_leaving.empty();
+    bool const urgent = !items.m_suspects.empty() || !items.m_crashes.empty() ||
+                        !items.m_answered_parts.empty() ||
+                        !items.m_leaving.empty();
     for (auto const& [id, peer] : m_active)
     {
         bool const to_child = relay && is_child(*peer, now);
@@ -402,6 +404,8 @@
             continue;
         }
         append_bounded(peer->m_outbox.m_suspects, items.m_suspects);
+        append_bounded(peer->m_outbox.m_crashes, items.m_crashes);
+        append_bounded(peer->m_outbox.m_answered_parts, items.m_answered_parts);
         append_bounded(peer->m_outbox.m_saved, items.m_saved);
         append_bounded(peer->m_outbox.m_leaving, items.m_leaving);
         peer->m_urgent = peer->m_urgent || urgent;
@@ -429,6 +433,7 @@
     peer.m_backoff_until = now;
     peer.m_weights_token = news.m_weights_token;
     peer.m_weights_number = news.m_weights_number;
+    peer.m_blocked_digest = news.m_blocked_digest;
 }
 
 peer_relation fleet_roster::note_call(fleet_news const& news, time_point now)
--- a/tests/entry/stand_in.cpp
+++ b/tests/entry/stand_in.cpp
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <sstream>
 
 namespace daisylead::entry_test
 {
@@ -38,10 +39,13 @@
     return ntohs(address.sin_port);
 }
 
-int listen_anywhere()
+/** @param port 0: any free one */
+int listen_on(int port)
 {
     int const descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in const address = loopback(0);
+    int const reuse = 1;
+    ::setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof reuse);
+    sockaddr_in const address = loopback(port);
     if (::bind(descriptor, reinterpret_cast<sockaddr const*>(&address),
                sizeof address) != 0 ||
         ::listen(descriptor, 64) != 0)
@@ -54,7 +58,7 @@
 /** @return an address whose port was free at the time of the call. */
 std::string free_address()
 {
-    int const descriptor = listen_anywhere();
+    int const descriptor = listen_on(0);
     int const port = port_of(descriptor);
     ::close(descriptor);
     return "127.0.0.1:" + std::to_string(port);
@@ -162,6 +166,11 @@
     {
         request.m_key = value_of(header, "Key");
     }
+    std::istringstream parts(value_of(header, "Parts"));
+    for (std::string part; std::getline(parts, part, ',');)
+    {
+        request.m_parts.push_back({part, token_count(100)});
+    }
     std::string const timeout = value_of(header, "Deadline-Ms");
     if (!timeout.empty())
     {
@@ -251,18 +260,39 @@
            ::recv(m_descriptor, &byte, 1, 0) <= 0;
 }
 
+void served_connection::shut_down() const
+{
+    ::shutdown(m_descriptor, SHUT_RDWR);
+}
+
 scripted_upstream::scripted_upstream(script run)
-    : m_run(std::move(run)), m_listener(listen_anywhere()),
+    : m_run(std::move(run)), m_listener(listen_on(0)),
       m_address("127.0.0.1:" + std::to_string(port_of(m_listener))),
       m_acceptor([this] { accept_loop(); })
 {
 }
 
+void scripted_upstream::crash(std::chrono::milliseconds down_time)
+{
+    m_down_time = down_time;
+    ::shutdown(m_listener, SHUT_RDWR);
+    std::lock_guard const lock(m_mutex);
+    for (auto const& connection : m_served)
+    {
+        connection->shut_down();
+    }
+}
+
 scripted_upstream::~scripted_upstream()
 {
+    m_stopping = true;
     ::shutdown(m_listener, SHUT_RDWR);
     m_acceptor.join();
     ::close(m_listener);
+    for (auto const& connection : m_served)
+    {
+        connection->shut_down();
+    }
     for (std::thread& worker : m_workers)
     {
         worker.join();
@@ -273,18 +303,34 @@
 {
     for (;;)
     {
+        if (m_stopping)
+        {
+            return;
+        }
+        // Not blocked in accept() when the listener is replaced at the end.
+        if (!is_readable(m_listener, 50ms))
+        {
+            continue;
+        }
         int const descriptor = ::accept(m_listener, nullptr, nullptr);
         if (descriptor < 0)
         {
-            return;
+            int const port =
+                std::stoi(m_address.substr(m_address.find(':') + 1));
+            ::close(m_listener);
+            std::this_thread::sleep_for(m_down_time.load());
+            m_listener = listen_on(port);
+            continue;
         }
         ++m_connections;
         std::lock_guard const lock(m_mutex);
+        auto const connection = std::make_shared<served_connection>(descriptor);
+        m_served.push_back(connection);
         m_workers.emplace_back(
-            [this, descriptor]
+            [this, connection]
             {
-                served_connection connection(descriptor);
-                m_run(connection);
+                m_run(*connection);
+                connection->shut_down();
             });
     }
 }
@@ -366,6 +412,42 @@
     start(network.factory());
 }
 
+running_instance::running_instance(
+    serving::catalog catalog, std::vector<serving::upstream_record> upstreams,
+    peer_network& network, int number, std::shared_ptr<block_store> blocks)
+    : m_catalog(std::move(catalog)), m_upstreams(std::move(upstreams)),
+      m_blocks(std::move(blocks))
+{
+    m_settings.m_instance = instance_id("entry-" + std::to_string(number));
+    m_settings.m_peer_address = peer_address(number);
+    m_settings.m_seeds = {peer_address(1)};
+    start(network.factory());
+}
+
+std::vector<request::blocked_part> block_store::read()
+{
+    std::lock_guard const lock(m_mutex);
+    std::vector<request::blocked_part> parts;
+    for (auto const& [digest, part] : m_parts)
+    {
+        parts.push_back(part);
+        parts.back().m_stored = true;
+    }
+    return parts;
+}
+
+void block_store::write(request::blocked_part const& part)
+{
+    std::lock_guard const lock(m_mutex);
+    m_parts[part.m_part] = part;
+}
+
+void block_store::erase(request::part_digest part)
+{
+    std::lock_guard const lock(m_mutex);
+    m_parts.erase(part);
+}
+
 void running_instance::start(peer::transport_factory const& make_transport)
 {
     m_settings.m_zone = zone_id("a");
@@ -465,6 +547,27 @@
     {
         co_return std::vector<serving::member>{};
     };
+    calls.m_read_blocked_parts = [this]()
+        -> entry::awaitable<std::optional<std::vector<request::blocked_part>>>
+    {
+        if (m_store_failed)
+        {
+            co_return std::nullopt;
+        }
+        co_return m_blocks->read();
+    };
+    calls.m_write_blocked_part =
+        [this](request::blocked_part const& part) -> entry::awaitable<bool>
+    {
+        m_blocks->write(part);
+        co_return true;
+    };
+    calls.m_erase_blocked_part =
+        [this](request::part_digest part) -> entry::awaitable<bool>
+    {
+        m_blocks->erase(part);
+        co_return true;
+    };
     calls.m_write_member = [](serving::member const&) -> entry::awaitable<bool>
     {
         co_return true;
--- a/tests/entry/stand_in.hpp
+++ b/tests/entry/stand_in.hpp
@@ -35,6 +35,9 @@
      *  @return whether it did within @p timeout */
     bool wait_for_close(std::chrono::milliseconds timeout) const;
 
+    /** Ends the connection while it is served. */
+    void shut_down() const;
+
 private:
     int m_descriptor;
     std::string m_buffer;
@@ -57,6 +60,9 @@
         return m_address;
     }
 
+    /** Closes all connections and refuses new ones for a time. */
+    void crash(std::chrono::milliseconds down_time);
+
     /** @return number of accepted connections. */
     int connections() const
     {
@@ -67,11 +73,15 @@
     void accept_loop();
 
     script m_run;
-    int m_listener = -1;
+    std::atomic<int> m_listener = -1;
     std::string m_address;
     std::atomic<int> m_connections = 0;
+    std::atomic<bool> m_stopping = false;
+    std::atomic<std::chrono::milliseconds> m_down_time{};
     std::mutex m_mutex;
     std::vector<std::thread> m_workers; ///< guarded by m_mutex
+    std::vector<std::shared_ptr<served_connection>>
+        m_served; ///< guarded by m_mutex
     std::thread m_acceptor;
 };
 
@@ -89,7 +99,20 @@
     std::map<std::string, peer::message_hook> m_hooks; ///< by address
 };
 
-/** One entry instance with a minimal adapter. Header fields: Id, Key,
+/** Blocked prompt parts in the store of a test. */
+class block_store
+{
+public:
+    std::vector<request::blocked_part> read();
+    void write(request::blocked_part const& part);
+    void erase(request::part_digest part);
+
+private:
+    std::mutex m_mutex;
+    std::map<request::part_digest, request::blocked_part> m_parts;
+};
+
+/** One entry instance with a minimal adapter. Header fields: Id, Key, Parts,
  *  Deadline-Ms, Seal, Not-Run, Leaving, Retry-After, Rate-Limit. */
 class running_instance
 {
@@ -103,6 +126,11 @@
     running_instance(serving::catalog catalog,
                      std::vector<serving::upstream_record> upstreams,
                      peer_network& network, int number);
+    /** The same with a store that the test keeps. */
+    running_instance(serving::catalog catalog,
+                     std::vector<serving::upstream_record> upstreams,
+                     peer_network& network, int number,
+                     std::shared_ptr<block_store> blocks);
     ~running_instance();
     running_instance(running_instance const&) = delete;
     running_instance& operator=(running_instance const&) = delete;
@@ -138,6 +166,7 @@
     serving::catalog m_catalog;
     std::vector<serving::upstream_record> m_upstreams;
     std::atomic<bool> m_store_failed = false;
+    std::shared_ptr<block_store> m_blocks = std::make_shared<block_store>();
     config::entry_settings m_settings;
     boost::asio::io_context m_context{1};
     std::unique_ptr<entry::entry_instance> m_instance;
--- a/tests/peer/transport_test.cpp
+++ b/tests/peer/transport_test.cpp
@@ -75,6 +75,34 @@
     CHECK_FALSE(rates[1].m_per_second);
 }
 
+TEST_CASE("encoding keeps crashes, answered parts and blocked parts")
+{
+    serving::fleet_news news;
+    request::upstream_incarnation const crash{upstream_id("u"), incarnation(5)};
+    news.m_crashes = {
+        {crash, {request::part_digest(1), request::part_digest(2)}}};
+    news.m_answered_parts = {request::part_digest(3)};
+    news.m_blocked_parts = {{request::part_digest(4), {crash}, true}};
+    news.m_blocked_digest = 9;
+    news.m_knows_blocked_parts = true;
+    capnp::MallocMessageBuilder builder;
+    auto target = builder.initRoot<peer::wire::Message>();
+    peer::encode({instance_id("entry-1"), incarnation(42), news}, target);
+    peer::message const decoded = peer::decode(target.asReader());
+    auto const& body = std::get<serving::fleet_news>(decoded.m_body);
+    REQUIRE(body.m_crashes.size() == 1);
+    CHECK(body.m_crashes.front().m_crash == crash);
+    CHECK(body.m_crashes.front().m_parts == news.m_crashes.front().m_parts);
+    CHECK(body.m_answered_parts == news.m_answered_parts);
+    REQUIRE(body.m_blocked_parts.size() == 1);
+    CHECK(body.m_blocked_parts.front().m_part == request::part_digest(4));
+    CHECK(body.m_blocked_parts.front().m_crashes ==
+          news.m_blocked_parts.front().m_crashes);
+    CHECK(body.m_blocked_parts.front().m_stored);
+    CHECK(body.m_blocked_digest == 9);
+    CHECK(body.m_knows_blocked_parts);
+}
+
 TEST_CASE("a call reaches the peer and its reply comes back")
 {
     auto const receiver =
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -236,3 +236,21 @@
     header.set("X-Server-Seal", "s");
     CHECK(platform::read_answer(header).m_sealed);
 }
+
+TEST_CASE("blocked prompt parts survive the way through the store")
+{
+    request::blocked_part part;
+    part.m_part = request::part_digest(0x00f0aabbccddeeffULL);
+    part.m_crashes = {{upstream_id("i-1"), incarnation(1700000000000)},
+                      {upstream_id("i-2"), incarnation(7)}};
+    json const rows = {
+        {"rows",
+         json::array({make_row(platform::blocked_part_key(part.m_part),
+                               platform::encode_blocked_part(part)),
+                      make_row("no number", "{}"), make_row("1f", "[]")})}};
+    auto const parts = platform::decode_blocked_parts(rows.dump());
+    REQUIRE(parts.size() == 1);
+    CHECK(parts.front().m_part == part.m_part);
+    CHECK(parts.front().m_crashes == part.m_crashes);
+    CHECK(parts.front().m_stored);
+}
