Fix: [Entry] row versions were compared across restores of the store

Cause: a document's revision was its row version. A restored store gives row versions out again: lower ones were dropped as late answers, without a proof for keys and without a pause before the next read, and the same number was taken for the same content. Class: a counter is used as an order beyond the history in which it is kept.

Evidence: configuration 15 got row version 45, as configuration 12 had before; no configuration_in_force and no configuration_older follows in the logs. Ruled out: a store that is not read, and refusal for the content.

Change: revisions hold the era of the store above the row version, on all paths (configuration, service discovery, lease condition, fencing token, news of peers). The configuration in force goes up by the operators' versions only, also between peers; an older one that is read counts as proof and is decoded once. Runs that leave or have left stay so, missing ones are kept as after an outage; the lease is not taken until the last holder's has ended; member rows and blocked parts are written again.

--- a/include/daisylead/entry/http_caller_base.hpp
+++ b/include/daisylead/entry/http_caller_base.hpp
@@ -7,11 +7,13 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 
+#include <boost/beast/http/fields.hpp>
 #include <chrono>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
+
 #include <vector>
 
 namespace daisylead::entry
@@ -34,6 +36,7 @@
 {
     int m_status = 0;   ///< HTTP status
     std::string m_body; ///< whole body
+    boost::beast::http::fields m_fields;
 };
 
 /** Makes HTTP calls to the platform's store and to engines. */
--- a/include/daisylead/request/part_quarantine_base.hpp
+++ b/include/daisylead/request/part_quarantine_base.hpp
@@ -111,6 +111,9 @@
     /** Records that the store holds the block of a part. */
     void note_stored(part_digest part);
 
+    /** The store may have lost the records of blocks. */
+    void note_store_restored();
+
     /** Ends the blocks of parts that are no longer requested.
      *  @return these parts */
     std::vector<part_digest> take_expired(time_point now);
--- a/include/daisylead/serving/fleet_news_type.hpp
+++ b/include/daisylead/serving/fleet_news_type.hpp
@@ -28,9 +28,11 @@
 /** A document as read from the store; each instance parses it itself. */
 struct document
 {
-    std::uint64_t m_revision = 0; ///< grows with each change of the content
-    std::uint64_t m_digest = 0;   ///< of the significant fields of the content
-    std::string m_bytes;          ///< raw content
+    std::uint64_t m_revision = 0; ///< see make_store_revision()
+    /** Grows with the versions that operators give the content; 0: unknown. A
+     *  restored store can show an older content under a newer revision. */
+    std::uint64_t m_content_order = 0;
+    std::string m_bytes; ///< raw content
 };
 
 /** Units that each organisation used since the sender's start, in the order of
@@ -89,7 +91,9 @@
 struct document_state
 {
     std::uint64_t m_revision = 0; ///< 0: none
-    std::uint64_t m_digest = 0;   ///< see document
+    /** Of a configuration its content order, see document; of service
+     *  discovery the digest of the list. */
+    std::uint64_t m_digest = 0;
     /** Since the store was last seen to hold this revision. */
     std::optional<std::int64_t> m_age_ms;
 };
--- a/include/daisylead/serving/order_lease_base.hpp
+++ b/include/daisylead/serving/order_lease_base.hpp
@@ -25,8 +25,9 @@
 /** The lease row as read from the store. */
 struct lease_row_state
 {
-    std::uint64_t m_version = 0; ///< row version; 0: the row does not exist
-    instance_id m_holder;        ///< instance that wrote it; empty: released
+    /** Row version, see make_store_revision(); 0: the row does not exist. */
+    std::uint64_t m_version = 0;
+    instance_id m_holder; ///< instance that wrote it; empty: released
     /** Lower bound of the time since the write was sent, by the clock of the
      *  store. */
     duration m_age{};
@@ -47,6 +48,11 @@
      *  @param read_at when the response arrived */
     void note_row(lease_row_state const& row, time_point read_at);
 
+    /** The store came back from an older copy, whose row may name an earlier
+     *  holder. Nobody acquires the lease until the last holder's has ended.
+     *  @param noted_at when this instance learnt of it */
+    void note_store_restored(time_point noted_at);
+
     /** @return whether the row should be read now. */
     bool wants_read(time_point now) const;
 
@@ -83,6 +89,7 @@
     time_point m_changed_at;
     std::optional<std::uint64_t> m_token;
     time_point m_held_until;
+    std::optional<time_point> m_restored_at; ///< of the store
 };
 
 } // namespace daisylead::serving
--- a/include/daisylead/serving/upstream_pool_base.hpp
+++ b/include/daisylead/serving/upstream_pool_base.hpp
@@ -7,6 +7,7 @@
 #include <array>
 #include <functional>
 #include <list>
+#include <map>
 #include <set>
 #include <unordered_map>
 #include <utility>
@@ -24,6 +25,11 @@
     /** Time after an outage for which missing upstreams are kept: entries that
      *  lapsed in the outage may be missing for about 2 s after it. */
     duration m_lapse_grace = std::chrono::milliseconds(2300);
+    /** Time after a restore of the store in which the runs that were removed
+     *  before stay removed: entries without heartbeats lapse within it. */
+    duration m_restore_grace = std::chrono::seconds(6);
+    /** Age from which a removed run is forgotten. */
+    duration m_removed_ttl = std::chrono::minutes(1);
     /** Initial backoff of an unreachable upstream; doubles with each
      *  failure. */
     duration m_backoff = std::chrono::milliseconds(400);
@@ -156,6 +162,11 @@
     std::pair<std::vector<upstream_id>, std::vector<upstream_id>>
     take_list(std::vector<upstream_record> const& list, time_point read_at);
 
+    /** The store came back from an older copy: its list may lack upstreams
+     *  that are there, and hold some that have left, until the upstreams have
+     *  written their entries again. */
+    void note_store_restored(time_point now);
+
     /** Records that a newer version of a model's weights was published.
      *  @param named_at time of publication, or earlier */
     void set_newest(model_id const& model, std::int64_t version,
@@ -353,6 +364,9 @@
     upstream_rates m_rates;
     std::optional<time_point> m_read_at;
     std::optional<time_point> m_grace_until;
+    /** Start of the runs that were removed from the list, with the time. */
+    std::map<upstream_id, std::pair<std::int64_t, time_point>> m_removed;
+    std::optional<time_point> m_restore_grace_until;
 };
 
 } // namespace daisylead::serving
--- a/src/entry/fleet_exchange.cpp
+++ b/src/entry/fleet_exchange.cpp
@@ -122,7 +122,7 @@
     news.m_fleet = m_state.m_roster.fleet_size(now);
     news.m_relays_digest = m_state.m_roster.relays_digest(now);
     news.m_rules = make_document_state(m_state.m_rules.m_revision,
-                                       m_state.m_rules.m_digest,
+                                       m_state.m_rules.m_content_order,
                                        m_state.m_rules_freshness.age(now));
     news.m_upstreams = make_document_state(
         m_state.m_upstreams_revision, m_state.m_upstreams.digest(),
@@ -351,6 +351,12 @@
     }
 }
 
+bool fleet_exchange::has_newer_rules(serving::fleet_news const& news) const
+{
+    return news.m_rules.m_revision > m_state.m_rules_freshness.revision() ||
+           news.m_rules.m_digest > m_state.m_rules.m_content_order;
+}
+
 fleet_exchange::wanted_parts
 fleet_exchange::apply_documents(serving::fleet_news const& reply,
                                 time_point sent_at)
@@ -365,17 +371,18 @@
             sent_at - std::chrono::milliseconds(*reply.m_rules.m_age_ms);
         if (!reply.m_rules_document.empty())
         {
-            m_state.update_rules(
-                {reply.m_rules.m_revision, 0, reply.m_rules_document}, read_at,
-                source);
-        }
-        else if (reply.m_rules.m_revision == known_rules)
-        {
-            m_state.note_rules_unchanged(read_at);
+            m_state.update_rules({reply.m_rules.m_revision,
+                                  reply.m_rules.m_digest,
+                                  reply.m_rules_document},
+                                 read_at, source);
         }
         else
         {
-            wanted.m_rules = reply.m_rules.m_revision > known_rules;
+            wanted.m_rules = has_newer_rules(reply);
+            if (reply.m_rules.m_revision == known_rules && !wanted.m_rules)
+            {
+                m_state.note_rules_unchanged(read_at);
+            }
         }
     }
     if (reply.m_upstreams.m_age_ms && reply.m_upstreams.m_revision != 0)
@@ -451,9 +458,7 @@
     // The peer has a newer document: request it now instead of at the next
     // interval. Its age is computed from the reply to that request.
     wanted_parts wanted;
-    wanted.m_rules =
-        news.m_rules.m_age_ms &&
-        news.m_rules.m_revision > m_state.m_rules_freshness.revision();
+    wanted.m_rules = news.m_rules.m_age_ms && has_newer_rules(news);
     wanted.m_upstreams =
         news.m_upstreams.m_age_ms &&
         news.m_upstreams.m_digest != m_state.m_upstreams.digest() &&
--- a/src/entry/fleet_exchange.hpp
+++ b/src/entry/fleet_exchange.hpp
@@ -61,6 +61,7 @@
     void send(std::string const& address, serving::fleet_news news,
               instance_id const& to);
     void on_reply(serving::fleet_news const& reply, time_point sent_at);
+    bool has_newer_rules(serving::fleet_news const& news) const;
     wanted_parts apply_documents(serving::fleet_news const& reply,
                                  time_point sent_at);
     serving::fleet_news handle_news(serving::fleet_news const& news);
--- a/src/entry/fleet_state.cpp
+++ b/src/entry/fleet_state.cpp
@@ -1,6 +1,7 @@
 /** @file State of the fleet as seen by one entry instance. */
 #include "fleet_state.hpp"
 
+#include <daisylead/serving/store_revision_func.hpp>
 #include <daisylead/telemetry/log_func.hpp>
 
 #include <nlohmann/json.hpp>
@@ -81,6 +82,25 @@
             static_cast<std::int64_t>(std::lround(settings.m_size * 1000))};
 }
 
+/** Bits of a content order that hold the sum of the weights versions. */
+constexpr unsigned weights_order_bits = 20;
+
+/** @return a number that grows with the version of the configuration, then with
+ *          those of the weights. */
+std::uint64_t content_order(serving::catalog const& catalog)
+{
+    std::int64_t sum = 0;
+    for (serving::weights_target const& target : catalog.m_weights)
+    {
+        sum += target.m_version;
+    }
+    auto const weights = static_cast<std::uint64_t>(std::clamp<std::int64_t>(
+        sum, 0, (std::int64_t{1} << weights_order_bits) - 1));
+    return (static_cast<std::uint64_t>(catalog.m_version.value())
+            << weights_order_bits) |
+           weights;
+}
+
 double milliseconds_of(duration value)
 {
     return std::chrono::duration<double, std::milli>(value).count();
@@ -108,14 +128,34 @@
 {
 }
 
-void fleet_state::update_rules(serving::document document, time_point read_at,
-                               std::string const& source)
+void fleet_state::note_store_era(std::uint64_t era, std::string const& source)
 {
-    if (document.m_revision < m_rules_freshness.revision())
+    if (era <= m_store_era)
     {
         return;
     }
-    if (document.m_revision == m_rules_freshness.revision() && m_catalog)
+    bool const restored = m_store_era != 0;
+    telemetry::log(restored ? severity::warning : severity::info, "store_era",
+                   {{"era", era}, {"before", m_store_era}, {"source", source}});
+    m_store_era = era;
+    if (restored)
+    {
+        m_metrics.count("daisylead_store_restores_total");
+        m_store_restored_at = boot_time();
+        m_upstream_pool.note_store_restored(*m_store_restored_at);
+        m_part_quarantine.note_store_restored();
+    }
+}
+
+void fleet_state::update_rules(serving::document document, time_point read_at,
+                               std::string const& source)
+{
+    note_store_era(serving::era_of(document.m_revision), source);
+    std::uint64_t const known = m_rules_freshness.revision();
+    bool const is_newest_state = document.m_revision >= known;
+    bool const has_newer_content =
+        document.m_content_order > m_rules.m_content_order;
+    if (m_catalog && document.m_revision <= known && !has_newer_content)
     {
         m_rules_freshness.note_read(document.m_revision, read_at);
         return;
@@ -128,23 +168,33 @@
                        {{"revision", document.m_revision}, {"source", source}});
         return;
     }
-    if (m_catalog && catalog->m_version < m_catalog->content().m_version)
-    {
-        telemetry::log(
-            severity::warning, "configuration_older",
-            {{"version", catalog->m_version.value()}, {"source", source}});
-        return;
-    }
+    document.m_content_order = content_order(*catalog);
     // Versions in this document were first named after the last time at which
     // the old content was confirmed. A process that has just started does not
     // know that time and assumes an age, which uses up a part of the time
     // limits.
-    time_point const now = boot_time();
-    auto const confirmed_age = m_rules_freshness.age(now);
+    auto const confirmed_age = m_rules_freshness.age(boot_time());
     time_point const named_at =
-        now - confirmed_age.value_or(assumed_naming_age);
-    m_rules_freshness.note_read(document.m_revision, read_at);
+        boot_time() - confirmed_age.value_or(assumed_naming_age);
+    if (is_newest_state)
+    {
+        m_rules_freshness.note_read(document.m_revision, read_at);
+    }
+    if (m_catalog && catalog->m_version < m_catalog->content().m_version)
+    {
+        // Read from a restored store: no newer configuration was accepted, so
+        // the one in force is still the newest.
+        m_rules.m_revision = std::max(m_rules.m_revision, document.m_revision);
+        telemetry::log(severity::warning, "configuration_older",
+                       {{"version", catalog->m_version.value()},
+                        {"in_force", m_catalog->content().m_version.value()},
+                        {"revision", document.m_revision},
+                        {"source", source}});
+        return;
+    }
+    document.m_revision = std::max(document.m_revision, m_rules.m_revision);
     m_rules = std::move(document);
+    keep_newer_weights(*catalog);
     apply_catalog(std::move(*catalog), named_at);
     telemetry::log(severity::info, "configuration_in_force",
                    {{"version", m_catalog->content().m_version.value()},
@@ -153,6 +203,29 @@
                     {"read_age_ms", milliseconds_of(boot_time() - read_at)}});
 }
 
+void fleet_state::keep_newer_weights(serving::catalog& catalog) const
+{
+    if (!m_catalog)
+    {
+        return;
+    }
+    for (serving::weights_target const& known : m_catalog->content().m_weights)
+    {
+        auto const target =
+            std::find_if(catalog.m_weights.begin(), catalog.m_weights.end(),
+                         [&](serving::weights_target const& item)
+                         { return item.m_model == known.m_model; });
+        if (target == catalog.m_weights.end())
+        {
+            catalog.m_weights.push_back(known);
+        }
+        else
+        {
+            target->m_version = std::max(target->m_version, known.m_version);
+        }
+    }
+}
+
 void fleet_state::apply_catalog(serving::catalog catalog, time_point named_at)
 {
     time_point const now = boot_time();
@@ -171,6 +244,7 @@
 void fleet_state::replace_upstreams(serving::document const& document,
                                     time_point read_at)
 {
+    note_store_era(serving::era_of(document.m_revision), "store");
     if (m_upstreams_read_at && document.m_revision < m_upstreams_revision)
     {
         return;
@@ -185,6 +259,7 @@
     serving::document_state const& sender_state, time_point read_at,
     std::string const& source)
 {
+    note_store_era(serving::era_of(sender_state.m_revision), source);
     if (m_upstreams_read_at && sender_state.m_revision < m_upstreams_revision)
     {
         return true;
--- a/src/entry/fleet_state.hpp
+++ b/src/entry/fleet_state.hpp
@@ -33,8 +33,9 @@
                 boost::asio::any_io_executor const& executor,
                 std::int64_t started);
 
-    /** Applies a configuration that was read at @p read_at, unless it is older
-     *  than the one in force.
+    /** Applies a configuration that was read at @p read_at. The content in
+     *  force is never replaced by an older one, which a store that came back
+     *  from a copy may show.
      *  @param source where it was read, for the log */
     void update_rules(serving::document document, time_point read_at,
                       std::string const& source);
@@ -50,7 +51,7 @@
                                 serving::document_state const& sender_state,
                                 time_point read_at, std::string const& source);
 
-    /** The content was confirmed to be unchanged at @p read_at. */
+    /** The content was confirmed to be the newest at @p read_at. */
     void note_rules_unchanged(time_point read_at);
     void note_upstreams_unchanged(std::uint64_t revision, time_point read_at);
 
@@ -194,6 +195,9 @@
     std::uint64_t m_weights_token = 0;  ///< of the newest known holder
     std::uint64_t m_weights_number = 0; ///< newest news of that holder
     std::optional<time_point> m_last_weights_news_at; ///< of another holder
+    std::uint64_t m_store_era = 0; ///< newest known era of the store
+    /** When this instance learnt that the store came back from a copy. */
+    std::optional<time_point> m_store_restored_at;
     std::int64_t m_kv_store_epoch = 0;
     std::optional<time_point> m_kv_store_answered_at; ///< empty: down
     std::function<void()> m_on_urgent_news; ///< sends news immediately
@@ -216,6 +220,8 @@
     request::lru_map<std::uint64_t, time_point> m_saved;
     double rate_share(upstream_id const& id, double per_second,
                       time_point now) const;
+    void keep_newer_weights(serving::catalog& catalog) const;
+    void note_store_era(std::uint64_t era, std::string const& source);
     void send_to_peers(serving::news_outbox const& items,
                        instance_id const& from);
     void log_blocked_parts(std::string const& source);
--- a/src/entry/http_caller.cpp
+++ b/src/entry/http_caller.cpp
@@ -51,6 +51,7 @@
         if (read_result == io_result::ok)
         {
             answer.m_status = connection->status();
+            answer.m_fields = connection->header();
             read_result =
                 co_await connection->read_rest(answer.m_body, max_answer_size);
         }
--- a/src/entry/rollout_controller.cpp
+++ b/src/entry/rollout_controller.cpp
@@ -199,6 +199,10 @@
 
 awaitable<bool> rollout_controller::acquire_or_renew_lease()
 {
+    if (m_state.m_store_restored_at)
+    {
+        m_lease.note_store_restored(*m_state.m_store_restored_at);
+    }
     if (m_lease.wants_read(boot_time()))
     {
         std::optional<serving::lease_row_state> const row =
--- a/src/entry/store_poller.cpp
+++ b/src/entry/store_poller.cpp
@@ -82,6 +82,10 @@
  *  exchange news with each other. */
 constexpr std::chrono::milliseconds members_read_interval = 20s;
 
+/** Rows that were written longer before a restore of the store are in the
+ *  copy. */
+constexpr duration max_copy_age = 5min;
+
 /** Interval of checks whether any peer is live. */
 constexpr std::chrono::milliseconds peers_check_interval = 2s;
 
@@ -335,14 +339,22 @@
     bool written = false;
     int reads = 0;
     time_point next_read = boot_time();
+    time_point written_at;
+    std::optional<time_point> restored_at;
     for (;;)
     {
+        time_point const now = boot_time();
+        if (m_state.m_store_restored_at != restored_at)
+        {
+            restored_at = m_state.m_store_restored_at;
+            written = written && now - written_at > max_copy_age;
+        }
         if (!written)
         {
+            written_at = now;
             written =
                 co_await m_state.m_adapter.m_write_member(m_exchange.self());
         }
-        time_point const now = boot_time();
         bool const has_no_peers = m_state.m_roster.live_peers(now) == 0;
         bool const due = reads < startup_reads || has_no_peers ||
                          (m_state.m_roster.is_mesh() && now >= next_read);
--- a/src/request/part_quarantine.cpp
+++ b/src/request/part_quarantine.cpp
@@ -217,6 +217,14 @@
     }
 }
 
+void part_quarantine::note_store_restored()
+{
+    for (auto& [part, item] : m_suspects)
+    {
+        item.m_stored = false;
+    }
+}
+
 std::vector<part_digest> part_quarantine::take_expired(time_point now)
 {
     std::vector<part_digest> expired;
--- a/src/serving/order_lease.cpp
+++ b/src/serving/order_lease.cpp
@@ -25,6 +25,15 @@
     m_known = true;
 }
 
+void order_lease::note_store_restored(time_point noted_at)
+{
+    if (m_restored_at != noted_at)
+    {
+        m_restored_at = noted_at;
+        m_known = false;
+    }
+}
+
 bool order_lease::wants_read(time_point now) const
 {
     return !m_known || !token(now);
@@ -41,6 +50,11 @@
         bool const due = m_held_until - now < m_options.m_duration / 2;
         return due ? std::optional(m_row.m_version) : std::nullopt;
     }
+    if (m_restored_at &&
+        now - *m_restored_at < m_options.m_duration + m_options.m_handover)
+    {
+        return std::nullopt;
+    }
     duration const wait =
         m_row.m_holder.empty()
             ? std::max(duration::zero(), m_options.m_handover - m_row.m_quiet)
--- a/src/serving/upstream_pool.cpp
+++ b/src/serving/upstream_pool.cpp
@@ -47,8 +47,16 @@
     std::vector<upstream_id> added;
     std::vector<upstream_id> removed;
     std::set<upstream_id> listed;
+    bool const in_restore_grace =
+        m_restore_grace_until && read_at < *m_restore_grace_until;
     for (upstream_record const& record : list)
     {
+        auto const left = m_removed.find(record.m_id);
+        if (in_restore_grace && left != m_removed.end() &&
+            left->second.first == record.m_started)
+        {
+            continue;
+        }
         listed.insert(record.m_id);
         auto const [found, is_new] = m_entries.try_emplace(record.m_id);
         entry& item = found->second;
@@ -70,6 +78,11 @@
             continue;
         }
         std::map<model_id, std::int64_t> weights = item.m_record.m_weights;
+        // A run that leaves never takes new work again, though an older copy
+        // of the list may say so.
+        item.m_announced_leaving =
+            item.m_announced_leaving ||
+            (item.m_record.m_leaving && !record.m_leaving);
         item.m_record = record;
         item.m_record.m_leaving = record.m_leaving || item.m_announced_leaving;
         item.m_missing = false;
@@ -94,10 +107,14 @@
         else
         {
             removed.push_back(it->first);
+            m_removed[it->first] = {it->second.m_record.m_started, read_at};
             m_rates.erase(it->first);
             it = m_entries.erase(it);
         }
     }
+    std::erase_if(
+        m_removed, [&](auto const& left)
+        { return read_at - left.second.second > m_options.m_removed_ttl; });
     m_by_service.clear();
     for (auto& [id, item] : m_entries)
     {
@@ -114,6 +131,12 @@
     return {std::move(added), std::move(removed)};
 }
 
+void upstream_pool::note_store_restored(time_point now)
+{
+    m_grace_until = now + m_options.m_lapse_grace;
+    m_restore_grace_until = now + m_options.m_restore_grace;
+}
+
 void upstream_pool::note_list_unchanged(
     std::vector<upstream_record> const& list, time_point read_at)
 {
--- a/tests/entry/stand_in.cpp
+++ b/tests/entry/stand_in.cpp
@@ -144,6 +144,36 @@
     void stop() override {}
 };
 
+/** Catalogs of all instances of the process, as peers send each other the
+ *  bytes of documents. */
+struct catalog_list
+{
+    std::mutex m_mutex;
+    std::vector<serving::catalog> m_catalogs; ///< guarded by m_mutex
+};
+
+catalog_list& all_catalogs()
+{
+    static catalog_list list;
+    return list;
+}
+
+/** @return bytes that stand for the catalog. */
+std::string add_catalog(serving::catalog catalog)
+{
+    catalog_list& list = all_catalogs();
+    std::lock_guard const lock(list.m_mutex);
+    list.m_catalogs.push_back(std::move(catalog));
+    return std::to_string(list.m_catalogs.size() - 1);
+}
+
+std::optional<serving::catalog> find_catalog(std::string const& bytes)
+{
+    catalog_list& list = all_catalogs();
+    std::lock_guard const lock(list.m_mutex);
+    return list.m_catalogs.at(std::stoul(bytes));
+}
+
 std::string peer_address(int number)
 {
     return "peer-" + std::to_string(number);
@@ -393,7 +423,8 @@
 
 running_instance::running_instance(
     serving::catalog catalog, std::vector<serving::upstream_record> upstreams)
-    : m_catalog(std::move(catalog)), m_upstreams(std::move(upstreams))
+    : m_rules(add_catalog(std::move(catalog))),
+      m_upstreams(std::move(upstreams))
 {
     m_settings.m_instance = instance_id("entry-1");
     m_settings.m_peer_address = peer_address(1);
@@ -404,7 +435,8 @@
 running_instance::running_instance(
     serving::catalog catalog, std::vector<serving::upstream_record> upstreams,
     peer_network& network, int number)
-    : m_catalog(std::move(catalog)), m_upstreams(std::move(upstreams))
+    : m_rules(add_catalog(std::move(catalog))),
+      m_upstreams(std::move(upstreams))
 {
     m_settings.m_instance = instance_id("entry-" + std::to_string(number));
     m_settings.m_peer_address = peer_address(number);
@@ -415,8 +447,20 @@
 running_instance::running_instance(
     serving::catalog catalog, std::vector<serving::upstream_record> upstreams,
     peer_network& network, int number, std::shared_ptr<block_store> blocks)
-    : m_catalog(std::move(catalog)), m_upstreams(std::move(upstreams)),
-      m_blocks(std::move(blocks))
+    : m_rules(add_catalog(std::move(catalog))),
+      m_upstreams(std::move(upstreams)), m_blocks(std::move(blocks))
+{
+    m_settings.m_instance = instance_id("entry-" + std::to_string(number));
+    m_settings.m_peer_address = peer_address(number);
+    m_settings.m_seeds = {peer_address(1)};
+    start(network.factory());
+}
+
+running_instance::running_instance(
+    serving::catalog catalog, std::vector<serving::upstream_record> upstreams,
+    peer_network& network, int number, std::uint64_t revision)
+    : m_rules(add_catalog(std::move(catalog))), m_revision(revision),
+      m_upstreams(std::move(upstreams))
 {
     m_settings.m_instance = instance_id("entry-" + std::to_string(number));
     m_settings.m_peer_address = peer_address(number);
@@ -424,6 +468,14 @@
     start(network.factory());
 }
 
+void running_instance::set_rules(std::uint64_t revision,
+                                 serving::catalog catalog)
+{
+    std::lock_guard const lock(m_mutex);
+    m_revision = revision;
+    m_rules = add_catalog(std::move(catalog));
+}
+
 std::vector<request::blocked_part> block_store::read()
 {
     std::lock_guard const lock(m_mutex);
@@ -523,21 +575,23 @@
         {
             co_return std::nullopt;
         }
+        std::lock_guard const lock(m_mutex);
         entry::document_read result;
-        result.m_document.m_revision = 1;
-        result.m_document.m_bytes = "1";
+        result.m_document.m_revision = m_revision;
+        result.m_document.m_bytes = m_rules;
         timespec now{};
         ::clock_gettime(CLOCK_BOOTTIME, &now);
         result.m_read_at = time_point(std::chrono::seconds(now.tv_sec) +
                                       std::chrono::nanoseconds(now.tv_nsec));
         co_return result;
     };
-    calls.m_read_rules = read;
-    calls.m_read_upstreams = read;
-    calls.m_decode_rules = [this](std::string const&)
+    calls.m_read_rules = [this, read]
     {
-        return std::optional(m_catalog);
+        ++m_rules_reads;
+        return read();
     };
+    calls.m_read_upstreams = read;
+    calls.m_decode_rules = &find_catalog;
     calls.m_decode_upstreams = [this](std::string const&)
     {
         return m_upstreams;
--- a/tests/entry/stand_in.hpp
+++ b/tests/entry/stand_in.hpp
@@ -131,6 +131,10 @@
                      std::vector<serving::upstream_record> upstreams,
                      peer_network& network, int number,
                      std::shared_ptr<block_store> blocks);
+    /** The same with a revision of the configuration in the store. */
+    running_instance(serving::catalog catalog,
+                     std::vector<serving::upstream_record> upstreams,
+                     peer_network& network, int number, std::uint64_t revision);
     ~running_instance();
     running_instance(running_instance const&) = delete;
     running_instance& operator=(running_instance const&) = delete;
@@ -153,6 +157,15 @@
     void send_and_close(std::string const& bytes,
                         std::chrono::milliseconds after);
 
+    /** The store holds another configuration from now on. */
+    void set_rules(std::uint64_t revision, serving::catalog catalog);
+
+    /** @return number of reads of the configuration. */
+    int rules_reads() const
+    {
+        return m_rules_reads;
+    }
+
     /** The store gives no answer from now on. */
     void fail_store()
     {
@@ -163,8 +176,11 @@
     entry::adapter make_adapter();
     void start(peer::transport_factory const& make_transport);
 
-    serving::catalog m_catalog;
+    std::mutex m_mutex;
+    std::string m_rules;          ///< see add_catalog(), guarded by m_mutex
+    std::uint64_t m_revision = 1; ///< guarded by m_mutex
     std::vector<serving::upstream_record> m_upstreams;
+    std::atomic<int> m_rules_reads = 0;
     std::atomic<bool> m_store_failed = false;
     std::shared_ptr<block_store> m_blocks = std::make_shared<block_store>();
     config::entry_settings m_settings;
--- a/tests/serving/freshness_test.cpp
+++ b/tests/serving/freshness_test.cpp
@@ -1,6 +1,7 @@
 /** @file Tests of document age, staggered reads and the order lease. */
 #include <daisylead/serving/freshness_base.hpp>
 #include <daisylead/serving/order_lease_base.hpp>
+#include <daisylead/serving/store_revision_func.hpp>
 
 #include <catch2/catch.hpp>
 
@@ -147,3 +148,29 @@
     lease.note_written(21, start + 1s);
     CHECK(lease.token(start + 1s) == 21U);
 }
+
+TEST_CASE("nobody takes the lease until the last holder's has ended after a "
+          "restore of the store")
+{
+    // Guards against the holder that an older copy of the row names.
+    order_lease lease = make_lease("a");
+    lease.note_store_restored(start);
+    lease.note_row({serving::make_store_revision(2, 12), instance_id("a"), 5s},
+                   start + 100ms);
+    CHECK_FALSE(lease.write_due(start + 4800ms));
+    REQUIRE(lease.write_due(start + 4900ms));
+}
+
+TEST_CASE("a fencing token from a restored store is higher than earlier ones")
+{
+    order_lease lease = make_lease("a");
+    lease.note_row({}, start);
+    lease.note_written(serving::make_store_revision(1, 45), start);
+    auto const before = lease.token(start);
+    lease.note_store_restored(start + 1s);
+    lease.note_row({serving::make_store_revision(2, 40), instance_id("b"), 0ms},
+                   start + 1s);
+    CHECK_FALSE(lease.token(start + 1s));
+    lease.note_written(serving::make_store_revision(2, 41), start + 8s);
+    CHECK(lease.token(start + 8s) > before);
+}
--- a/tests/serving/upstream_pool_test.cpp
+++ b/tests/serving/upstream_pool_test.cpp
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <map>
 #include <random>
 
@@ -338,3 +339,39 @@
     CHECK(pool.place(make_request(), start + 100ms).m_reason ==
           no_placement::none);
 }
+
+TEST_CASE("a restored store brings no upstream back that leaves or has left")
+{
+    upstream_pool pool = make_pool();
+    std::vector<upstream_record> const all = make_engines(4);
+    pool.take_list(all, start);
+    std::vector<upstream_record> later = all;
+    later[1].m_leaving = true;
+    pool.take_list(later, start + 500ms);
+    later.pop_back(); // engine 3 has left
+    pool.take_list(later, start + 1000ms);
+    later.push_back(make_engine(9)); // registered after the copy was made
+    pool.take_list(later, start + 1500ms);
+
+    pool.note_store_restored(start + 2s);
+    pool.take_list(all, start + 2s);
+    auto const is_used = [&](int number)
+    {
+        auto const list = pool.usable(engines);
+        return std::any_of(list.begin(), list.end(),
+                           [&](upstream_record const& item)
+                           { return item.m_id == make_engine(number).m_id; });
+    };
+    CHECK(is_used(0));
+    CHECK_FALSE(is_used(1));
+    CHECK_FALSE(is_used(3));
+    CHECK(is_used(9));
+    // What the list still shows later has been written again.
+    for (auto now = start + 2500ms; now < start + 9s; now += 500ms)
+    {
+        pool.take_list(all, now);
+    }
+    CHECK_FALSE(is_used(1));
+    CHECK(is_used(3));
+    CHECK_FALSE(is_used(9));
+}
