Fix: [Limits] a quarantined request was refunded twice

What callers saw: nothing yet; an organisation whose requests are refused as quarantined or for a blocked part would get beyond its limit.

Cause: check() refunded the cost, and refuse() does so for each refusal of a request that has not run.

The test failed before: 60 of 60 requests were served after 60 refused ones, where the limit allows fewer than 30; after the fix it passes.

Conclusion: refuse() is the only place that refunds a refusal.

--- a/src/entry/request_runner.cpp
+++ b/src/entry/request_runner.cpp
@@ -182,14 +182,12 @@
     {
         return refused;
     }
-    auto refused = check_quarantine(m_began);
-    if (!refused)
+    if (auto refused = check_quarantine(m_began))
     {
-        refused = check_parts(m_began);
+        return refused;
     }
-    if (refused)
+    if (auto refused = check_parts(m_began))
     {
-        m_state.m_quotas.refund(m_owner, m_cost);
         return refused;
     }
     m_state.m_retries.note_request(m_service, m_began);
--- a/tests/entry/crashing_part_test.cpp
+++ b/tests/entry/crashing_part_test.cpp
@@ -201,3 +201,36 @@
     CHECK(upstreams.deadly_requests() == reached);
     CHECK(fleet.m_refused_sound == 0);
 }
+
+TEST_CASE("a request that is refused for a blocked part is refunded once")
+{
+    // Guards against refusals that raise an organisation above its limit.
+    crashing_upstreams upstreams(1);
+    auto const blocks = std::make_shared<block_store>();
+    blocks->write({request::digest_of_part("deadly"), {}, true});
+    serving::catalog catalog = make_catalog();
+    catalog.m_routes.front().m_open = false;
+    serving::organisation owner;
+    owner.m_id = organisation_id("o");
+    owner.m_keys = {"k"};
+    owner.m_rate = 8;
+    owner.m_burst = 1000;
+    catalog.m_organisations = {owner};
+    peer_network network;
+    running_instance instance(catalog, upstreams.records(), network, 1, blocks);
+    auto const status = [&](std::string const& parts)
+    {
+        return answer_of(instance, parts + "\r\nKey: k").substr(9, 3);
+    };
+    for (int i = 0; i < 60; ++i)
+    {
+        CHECK(status("deadly,own") == "503");
+    }
+    int served = 0;
+    for (int i = 0; i < 60; ++i)
+    {
+        served += status("sound,own") == "200" ? 1 : 0;
+    }
+    // Half a second of the rate at the start, and what the test lasts.
+    CHECK(served < 30);
+}
