Fix: [Request] a broken connection without a crash counted against prompt parts

Cause: an upstream that could not be reached counted as crashed for all attempts there, also those that it was still answering, and attempts that had broken earlier for another reason.

Change: only attempts that broke off count, and they are forgotten when a new connection shows that the upstream lives. Cost of the former: answers refute such crashes, so only rare parts could be blocked wrongly.

The new test fails without the change (the parts of both attempts are reported).

--- a/include/daisylead/request/part_quarantine_base.hpp
+++ b/include/daisylead/request/part_quarantine_base.hpp
@@ -86,12 +86,17 @@
                                            attempt_outcome outcome,
                                            time_point now);
 
-    /** Records that an upstream crashed.
+    /** Records that an upstream crashed. Only attempts that broke off count: an
+     *  upstream that is merely unreachable may still be answering the others.
      *  @return the report for the peers; without parts if no attempt of this
      *          instance can have caused it */
     crash_report upstream_crashed(upstream_incarnation const& crash,
                                   time_point now);
 
+    /** Records that an upstream lives, so that its attempts that broke off are
+     *  no sign of a crash. */
+    void upstream_reached(upstream_incarnation const& target);
+
     /** Merges a crash that a peer reports. */
     void on_peer_crash(crash_report const& report, time_point now);
 
--- a/src/entry/crash_detector.cpp
+++ b/src/entry/crash_detector.cpp
@@ -39,11 +39,15 @@
     bool const reached = co_await connection->connect(probe_timeout);
     connection->abort();
     m_in_progress.erase(upstream.m_id);
-    if (!reached)
+    request::upstream_incarnation const run{upstream.m_id,
+                                            incarnation(upstream.m_started)};
+    if (reached)
     {
-        m_state.m_upstream_pool.note_unreachable(upstream.m_id, boot_time());
-        m_state.note_crash({upstream.m_id, incarnation(upstream.m_started)});
+        m_state.m_part_quarantine.upstream_reached(run);
+        co_return;
     }
+    m_state.m_upstream_pool.note_unreachable(upstream.m_id, boot_time());
+    m_state.note_crash(run);
 }
 
 } // namespace daisylead::entry
--- a/src/request/part_quarantine.cpp
+++ b/src/request/part_quarantine.cpp
@@ -87,32 +87,29 @@
                                   time_point now)
 {
     std::set<part_digest> parts;
-    auto const add = [&](tracked_attempt const& item, time_point ended)
+    drop_old_attempts(now);
+    for (tracked_attempt const& item : m_recently_broken)
     {
-        bool const is_beginning =
-            !item.m_answer_begun_at ||
-            ended - *item.m_answer_begun_at <= m_options.m_answer_begin;
-        if (item.m_target == crash && is_beginning)
+        bool const was_beginning = !item.m_answer_begun_at ||
+                                   item.m_broken_at - *item.m_answer_begun_at <=
+                                       m_options.m_answer_begin;
+        if (item.m_target == crash && was_beginning)
         {
             parts.insert(item.m_parts.begin(), item.m_parts.end());
         }
-    };
-    drop_old_attempts(now);
-    for (auto const& [attempt, item] : m_in_flight)
-    {
-        add(item, now);
     }
-    for (tracked_attempt const& item : m_recently_broken)
-    {
-        add(item, item.m_broken_at);
-    }
-    m_recently_broken.remove_if([&](tracked_attempt const& item)
-                                { return item.m_target == crash; });
+    upstream_reached(crash);
     crash_report report{crash, {parts.begin(), parts.end()}};
     on_peer_crash(report, now);
     return report;
 }
 
+void part_quarantine::upstream_reached(upstream_incarnation const& target)
+{
+    m_recently_broken.remove_if([&](tracked_attempt const& item)
+                                { return item.m_target == target; });
+}
+
 void part_quarantine::on_peer_crash(crash_report const& report, time_point now)
 {
     if (report.m_parts.empty())
--- a/tests/request/part_quarantine_test.cpp
+++ b/tests/request/part_quarantine_test.cpp
@@ -297,3 +297,17 @@
             }
         }));
 }
+
+TEST_CASE("a connection that breaks without a crash is not counted")
+{
+    // Guards against evidence from spoiled answers and from slow upstreams.
+    part_quarantine tracker({});
+    attempt_id const broken("broken");
+    attempt_id const running("running");
+    tracker.attempt_begun(broken, {part("a")}, crash_number(1));
+    tracker.attempt_begun(running, {part("b")}, crash_number(1));
+    tracker.attempt_ended(broken, attempt_outcome::broken, start);
+    tracker.upstream_reached(crash_number(1));
+    CHECK(
+        tracker.upstream_crashed(crash_number(1), start + 1s).m_parts.empty());
+}
