Fix: [Entry] a store that answers with an old state was read without a pause

Change: such a read is repeated like one without an answer (250 ms, 1 s behind a relay).

The new test failed before: 249 reads in 3 s, 20 allowed.

--- a/src/entry/store_poller.cpp
+++ b/src/entry/store_poller.cpp
@@ -188,9 +188,13 @@
         {
             m_exchange.send_now();
         }
-        // Without a first configuration, poll at a longer interval.
-        co_await pause(m_executor, m_state.m_catalog ? min_poll_pause
-                                                     : absent_retry_delay());
+        // Without a first configuration, poll at a longer interval. A read that
+        // is older than what is known must not be repeated at once.
+        auto const new_age = m_state.m_rules_freshness.age(boot_time());
+        bool const is_fresh = new_age && *new_age < due_age;
+        co_await pause(m_executor, !m_state.m_catalog ? absent_retry_delay()
+                                   : is_fresh         ? min_poll_pause
+                                              : read_retry_delay(boot_time()));
     }
 }
 
@@ -223,7 +227,11 @@
         {
             m_exchange.send_now();
         }
-        co_await pause(m_executor, min_poll_pause);
+        bool const is_fresh =
+            m_state.m_upstreams_read_at &&
+            boot_time() - *m_state.m_upstreams_read_at < due_age;
+        co_await pause(m_executor, is_fresh ? min_poll_pause
+                                            : read_retry_delay(boot_time()));
     }
 }
 
--- a/tests/entry/restored_store_test.cpp
+++ b/tests/entry/restored_store_test.cpp
@@ -127,3 +127,15 @@
     CHECK(status_of(new_instance, 2) == 200);
     CHECK(status_of(new_instance, 2, "k1") == 401);
 }
+
+TEST_CASE("a store that answers with an old state is not read without a pause")
+{
+    sound_upstream upstream;
+    peer_network network;
+    running_instance instance(make_catalog(2), upstream.records(), network, 1,
+                              make_store_revision(2, 45));
+    instance.set_rules(make_store_revision(1, 44), make_catalog(1));
+    int const reads = instance.rules_reads();
+    std::this_thread::sleep_for(3s);
+    CHECK(instance.rules_reads() - reads <= 20);
+}
