Fix: [Serving] a run that had left stayed away after the grace of a restore

Cause: the list of service discovery is applied again only when it changes; the end of the grace after a restore did not count as a change.

Change: it does, as the end of the grace after an outage does.

The test failed before: with an unchanged list the run was not used again.

--- a/src/serving/upstream_pool.cpp
+++ b/src/serving/upstream_pool.cpp
@@ -142,13 +142,17 @@
 {
     bool const after_outage =
         m_read_at && read_at - *m_read_at > m_options.m_outage_after;
-    bool const in_grace = m_grace_until.has_value();
+    bool const in_grace =
+        m_grace_until.has_value() || m_restore_grace_until.has_value();
     if (after_outage || in_grace)
     {
         take_list(list, read_at);
-        if (m_grace_until && read_at >= *m_grace_until)
+        for (auto* const until : {&m_grace_until, &m_restore_grace_until})
         {
-            m_grace_until.reset();
+            if (*until && read_at >= **until)
+            {
+                until->reset();
+            }
         }
         return;
     }
--- a/tests/serving/upstream_pool_test.cpp
+++ b/tests/serving/upstream_pool_test.cpp
@@ -369,7 +369,7 @@
     // What the list still shows later has been written again.
     for (auto now = start + 2500ms; now < start + 9s; now += 500ms)
     {
-        pool.take_list(all, now);
+        pool.note_list_unchanged(all, now);
     }
     CHECK_FALSE(is_used(1));
     CHECK(is_used(3));
