--- a/tests/request/part_quarantine_test.cpp
+++ b/tests/request/part_quarantine_test.cpp
@@ -169,8 +169,8 @@
     time_point now = start;
     for (int i = 0; i < 3; ++i)
     {
-        now = crash_times(tracker, {part("x")}, 2 * i, 1, now);
-        now = crash_times(tracker, {part("y")}, 2 * i + 1, 1, now);
+        now = crash_times(tracker, {part("x")}, i, 1, now);
+        now = crash_times(tracker, {part("y")}, 10 + i, 1, now);
     }
     CHECK(is_blocked(tracker, {part("x"), part("a")}, now));
     CHECK(is_blocked(tracker, {part("y"), part("a")}, now));
