--- a/src/entry/request_attempt.cpp
+++ b/src/entry/request_attempt.cpp
@@ -143,21 +143,7 @@
         }
         co_return next_action::retry;
     }
-    // The configuration may have become too old while the request was held or
-    // the connection was established.
-    if (auto refused = check_key(boot_time()))
-    {
-        m_state.m_upstream_pool.note_ended(id, false, tokens);
-        m_upstream->abort();
-        m_refusal = m_possible_runs > 0
-                        ? refusal{502, refused->m_code, refused->m_message,
-                                  std::nullopt}
-                        : *refused;
-        co_return next_action::refuse;
-    }
-    // The crashes that block a part may have come while the request was held,
-    // or an earlier attempt may be one of them.
-    if (auto refused = check_parts(boot_time()))
+    if (auto refused = check_before_send(boot_time()))
     {
         m_state.m_upstream_pool.note_ended(id, false, tokens);
         m_upstream->abort();
--- a/src/entry/request_runner.cpp
+++ b/src/entry/request_runner.cpp
@@ -300,6 +300,20 @@
                    blocked_part_retry_delay};
 }
 
+std::optional<request_runner::refusal>
+request_runner::check_before_send(time_point now)
+{
+    // The configuration may have become too old while the request was held or
+    // the connection was established.
+    if (auto refused = check_key(now))
+    {
+        return refused;
+    }
+    // The crashes that block a part may have come meanwhile, or an earlier
+    // attempt may be one of them.
+    return check_parts(now);
+}
+
 service_id request_runner::choose_service() const
 {
     std::int64_t total = 0;
--- a/src/entry/request_runner.hpp
+++ b/src/entry/request_runner.hpp
@@ -52,6 +52,7 @@
     std::optional<refusal> check_quota(time_point now);
     std::optional<refusal> check_quarantine(time_point now);
     std::optional<refusal> check_parts(time_point now);
+    std::optional<refusal> check_before_send(time_point now);
     service_id choose_service() const;
     token_count upstream_capacity() const;
     awaitable<std::optional<serving::placement>> wait_for_placement();
