Change: [Request] both quarantines drop old broken attempts by the same code

Cause: part_quarantine repeated the limits and the loop of quarantine.

Change: src/request/broken_attempts.hpp serves both; behaviour stays.

--- a/include/daisylead/request/part_quarantine_base.hpp
+++ b/include/daisylead/request/part_quarantine_base.hpp
@@ -176,7 +176,6 @@
     std::size_t count_moments(crash_set const& crashes, time_point now) const;
     bool is_blamed(part_digest part, suspect const& item,
                    std::span<part_digest const> parts, time_point now) const;
-    void drop_old_attempts(time_point now);
 
     part_quarantine_options m_options;
     std::unordered_map<attempt_id, tracked_attempt> m_in_flight;
--- a/include/daisylead/request/quarantine_base.hpp
+++ b/include/daisylead/request/quarantine_base.hpp
@@ -138,7 +138,6 @@
     void add_crash(suspect_id const& request, upstream_incarnation const& crash,
                    time_point now);
     bool clear(suspect_id const& request, time_point now);
-    void drop_expired(time_point now);
 
     quarantine_options m_options;
     std::unordered_map<attempt_id, tracked_attempt> m_in_flight;
--- a/src/request/part_quarantine.cpp
+++ b/src/request/part_quarantine.cpp
@@ -1,6 +1,8 @@
 /** @file Attribution of upstream crashes to prompt parts. */
 #include <daisylead/request/part_quarantine_base.hpp>
 
+#include "broken_attempts.hpp"
+
 #include <xxhash.h>
 
 #include <algorithm>
@@ -13,11 +15,6 @@
 namespace
 {
 
-/** How long a broken attempt is kept: the crash is detected by a failed
- *  connection some time after the attempt broke. */
-constexpr std::chrono::seconds crash_detection_delay{10};
-constexpr std::size_t max_broken_attempts = 1024; ///< kept
-
 bool contains(std::span<part_digest const> parts, part_digest part)
 {
     return std::find(parts.begin(), parts.end(), part) != parts.end();
@@ -78,7 +75,7 @@
         item.m_broken_at = now;
         m_recently_broken.push_back(std::move(item));
     }
-    drop_old_attempts(now);
+    drop_expired_attempts(m_recently_broken, now);
     return refuted;
 }
 
@@ -87,7 +84,7 @@
                                   time_point now)
 {
     std::set<part_digest> parts;
-    drop_old_attempts(now);
+    drop_expired_attempts(m_recently_broken, now);
     for (tracked_attempt const& item : m_recently_broken)
     {
         bool const was_beginning = !item.m_answer_begun_at ||
@@ -403,15 +400,4 @@
     return moments;
 }
 
-void part_quarantine::drop_old_attempts(time_point now)
-{
-    while (
-        !m_recently_broken.empty() &&
-        (m_recently_broken.front().m_broken_at + crash_detection_delay < now ||
-         m_recently_broken.size() > max_broken_attempts))
-    {
-        m_recently_broken.pop_front();
-    }
-}
-
 } // namespace daisylead::request
--- a/src/request/quarantine.cpp
+++ b/src/request/quarantine.cpp
@@ -1,6 +1,8 @@
 /** @file Tracking of requests that are suspected of crashing upstreams. */
 #include <daisylead/request/quarantine_base.hpp>
 
+#include "broken_attempts.hpp"
+
 #include <algorithm>
 
 namespace daisylead::request
@@ -11,12 +13,6 @@
 
 /** Crashes of distinct incarnations after which a request is refused. */
 constexpr std::size_t crashes_to_refuse = 2;
-/** How long a broken attempt keeps its request suspected. Load reports lag and
- *  a restart takes a while, so a crash is detected some time after its
- *  connections broke. */
-constexpr std::chrono::seconds crash_detection_delay{10};
-constexpr std::size_t max_broken_attempts = 1024; ///< kept
-
 } // namespace
 
 quarantine::quarantine(quarantine_options options)
@@ -46,7 +42,7 @@
         return {};
     }
     tracked_attempt& item = ended.mapped();
-    drop_expired(now);
+    drop_expired_attempts(m_recently_broken, now);
     if (outcome == attempt_outcome::complete)
     {
         m_recently_broken.remove_if(
@@ -69,7 +65,7 @@
 std::vector<quarantine_update>
 quarantine::upstream_crashed(upstream_incarnation const& crash, time_point now)
 {
-    drop_expired(now);
+    drop_expired_attempts(m_recently_broken, now);
     std::vector<quarantine_update> updates;
     auto const add = [&](tracked_attempt const& item)
     {
@@ -187,15 +183,4 @@
     return true;
 }
 
-void quarantine::drop_expired(time_point now)
-{
-    while (
-        !m_recently_broken.empty() &&
-        (m_recently_broken.front().m_broken_at + crash_detection_delay < now ||
-         m_recently_broken.size() > max_broken_attempts))
-    {
-        m_recently_broken.pop_front();
-    }
-}
-
 } // namespace daisylead::request
