Change: [Entry] news without crash evidence costs no comparison of blocked parts

Cause: each message of a peer listed and compared the blocked parts, several times a second for each peer, although only crashes, answers and blocked parts can change them. The function was named after its log lines but also queues records for removal.

Change: such news ends before that; note_block_changes in place of log_blocked_parts.

--- a/src/entry/fleet_state.cpp
+++ b/src/entry/fleet_state.cpp
@@ -613,7 +613,7 @@
         m_part_quarantine.upstream_crashed(crash, boot_time());
     if (!report.m_parts.empty())
     {
-        log_blocked_parts("answer");
+        note_block_changes("answer");
         serving::news_outbox items;
         items.m_crashes.push_back(std::move(report));
         send_to_peers(items, {});
@@ -628,7 +628,7 @@
         m_part_quarantine.attempt_ended(attempt, outcome, boot_time());
     if (!items.m_answered_parts.empty())
     {
-        log_blocked_parts("answer");
+        note_block_changes("answer");
         send_to_peers(items, {});
     }
 }
@@ -649,7 +649,12 @@
         m_knows_blocked_parts ||
         (news.m_knows_blocked_parts &&
          news.m_blocked_digest == m_part_quarantine.blocked_digest());
-    log_blocked_parts("peer " + from.value());
+    if (news.m_crashes.empty() && news.m_answered_parts.empty() &&
+        news.m_blocked_parts.empty())
+    {
+        return;
+    }
+    note_block_changes("peer " + from.value());
     if (!refuted.m_answered_parts.empty())
     {
         send_to_peers(refuted, {});
@@ -668,13 +673,13 @@
 {
     m_part_quarantine.on_blocked_parts(parts, boot_time());
     m_knows_blocked_parts = true;
-    log_blocked_parts("store");
+    note_block_changes("store");
 }
 
 void fleet_state::expire_blocked_parts()
 {
     m_part_quarantine.take_expired(boot_time());
-    log_blocked_parts("expiry");
+    note_block_changes("expiry");
 }
 
 void fleet_state::send_to_peers(serving::news_outbox const& items,
@@ -687,13 +692,13 @@
     }
 }
 
-void fleet_state::log_blocked_parts(std::string const& source)
+void fleet_state::note_block_changes(std::string const& source)
 {
     std::set<request::part_digest> blocked;
     for (request::blocked_part const& part : m_part_quarantine.blocked_parts())
     {
         blocked.insert(part.m_part);
-        if (!m_logged_blocks.contains(part.m_part))
+        if (!m_noted_blocks.contains(part.m_part))
         {
             m_unblocked_parts.erase(part.m_part);
             telemetry::log(severity::warning, "part_blocked",
@@ -702,7 +707,7 @@
                             {"source", source}});
         }
     }
-    for (request::part_digest const part : m_logged_blocks)
+    for (request::part_digest const part : m_noted_blocks)
     {
         if (!blocked.contains(part))
         {
@@ -712,7 +717,7 @@
                             {"source", source}});
         }
     }
-    m_logged_blocks = std::move(blocked);
+    m_noted_blocks = std::move(blocked);
 }
 
 void fleet_state::note_suspects(std::vector<request::quarantine_update> news)
--- a/src/entry/fleet_state.hpp
+++ b/src/entry/fleet_state.hpp
@@ -224,8 +224,10 @@
     void note_store_era(std::uint64_t era, std::string const& source);
     void send_to_peers(serving::news_outbox const& items,
                        instance_id const& from);
-    void log_blocked_parts(std::string const& source);
-    std::set<request::part_digest> m_logged_blocks;
+    /** Logs which prompt parts were blocked or unblocked since the last call,
+     *  and queues the records of the latter for removal. */
+    void note_block_changes(std::string const& source);
+    std::set<request::part_digest> m_noted_blocks; ///< at the last call
     void apply_catalog(serving::catalog catalog, time_point named_at);
     void apply_upstreams(bool changed, std::uint64_t revision,
                          time_point read_at, std::string const& source);
