Change: [Test] entry tests share one catalog and one constructor for fleets

Cause: two test files repeated a catalog, the test instance three constructors that differed in one field.

Change: make_open_catalog() and store_state; all assertions stay.

--- a/tests/entry/crashing_part_test.cpp
+++ b/tests/entry/crashing_part_test.cpp
@@ -24,23 +24,7 @@
 
 serving::catalog make_catalog()
 {
-    serving::catalog catalog;
-    catalog.m_version = config_version(1);
-    serving::route route;
-    route.m_id = route_id("r");
-    route.m_host = "h";
-    route.m_prefix = "/again/";
-    route.m_repeatable = true;
-    route.m_open = true;
-    route.m_timeout = 2000ms;
-    route.m_target_latency = 800ms;
-    route.m_max_upstreams = 2;
-    route.m_split = {{service_id("s"), 1}};
-    catalog.m_routes = {route};
-    serving::service service;
-    service.m_id = service_id("s");
-    catalog.m_services = {service};
-    return catalog;
+    return make_open_catalog(800ms);
 }
 
 /** Upstreams of which each ends for a time when it begins to answer a request
@@ -137,7 +121,7 @@
         {
             m_instances.push_back(std::make_unique<running_instance>(
                 make_catalog(), m_upstreams.records(), m_network, number,
-                m_blocks));
+                store_state{.m_blocks = m_blocks}));
         }
     }
 
@@ -217,7 +201,8 @@
     owner.m_burst = 1000;
     catalog.m_organisations = {owner};
     peer_network network;
-    running_instance instance(catalog, upstreams.records(), network, 1, blocks);
+    running_instance instance(catalog, upstreams.records(), network, 1,
+                              {.m_blocks = blocks});
     auto const status = [&](std::string const& parts)
     {
         return answer_of(instance, parts + "\r\nKey: k").substr(9, 3);
--- a/tests/entry/restored_store_test.cpp
+++ b/tests/entry/restored_store_test.cpp
@@ -93,7 +93,7 @@
     sound_upstream upstream;
     peer_network network;
     running_instance instance(make_catalog(1), upstream.records(), network, 1,
-                              make_store_revision(1, 44));
+                              {make_store_revision(1, 44)});
     instance.set_rules(make_store_revision(1, 45), make_catalog(2));
     std::this_thread::sleep_for(apply_time);
     REQUIRE(status_of(instance, 2) == 200);
@@ -118,10 +118,10 @@
     sound_upstream upstream;
     peer_network network;
     running_instance old_instance(make_catalog(2), upstream.records(), network,
-                                  1, make_store_revision(1, 45));
+                                  1, {make_store_revision(1, 45)});
     old_instance.set_rules(make_store_revision(2, 44), make_catalog(1));
     running_instance new_instance(make_catalog(1), upstream.records(), network,
-                                  2, make_store_revision(2, 44));
+                                  2, {make_store_revision(2, 44)});
     std::this_thread::sleep_for(apply_time);
     CHECK(status_of(old_instance, 2) == 200);
     CHECK(status_of(new_instance, 2) == 200);
@@ -133,7 +133,7 @@
     sound_upstream upstream;
     peer_network network;
     running_instance instance(make_catalog(2), upstream.records(), network, 1,
-                              make_store_revision(2, 45));
+                              {make_store_revision(2, 45)});
     instance.set_rules(make_store_revision(1, 44), make_catalog(1));
     int const reads = instance.rules_reads();
     std::this_thread::sleep_for(3s);
--- a/tests/entry/stand_in.cpp
+++ b/tests/entry/stand_in.cpp
@@ -243,6 +243,27 @@
 
 } // namespace
 
+serving::catalog make_open_catalog(std::chrono::milliseconds target_latency)
+{
+    serving::catalog catalog;
+    catalog.m_version = config_version(1);
+    serving::route route;
+    route.m_id = route_id("r");
+    route.m_host = "h";
+    route.m_prefix = "/again/";
+    route.m_repeatable = true;
+    route.m_open = true;
+    route.m_timeout = 2000ms;
+    route.m_target_latency = target_latency;
+    route.m_max_upstreams = 2;
+    route.m_split = {{service_id("s"), 1}};
+    catalog.m_routes = {route};
+    serving::service service;
+    service.m_id = service_id("s");
+    catalog.m_services = {service};
+    return catalog;
+}
+
 served_connection::served_connection(int descriptor) : m_descriptor(descriptor)
 {
 }
@@ -434,33 +455,9 @@
 
 running_instance::running_instance(
     serving::catalog catalog, std::vector<serving::upstream_record> upstreams,
-    peer_network& network, int number)
-    : m_rules(add_catalog(std::move(catalog))),
-      m_upstreams(std::move(upstreams))
-{
-    m_settings.m_instance = instance_id("entry-" + std::to_string(number));
-    m_settings.m_peer_address = peer_address(number);
-    m_settings.m_seeds = {peer_address(1)};
-    start(network.factory());
-}
-
-running_instance::running_instance(
-    serving::catalog catalog, std::vector<serving::upstream_record> upstreams,
-    peer_network& network, int number, std::shared_ptr<block_store> blocks)
-    : m_rules(add_catalog(std::move(catalog))),
-      m_upstreams(std::move(upstreams)), m_blocks(std::move(blocks))
-{
-    m_settings.m_instance = instance_id("entry-" + std::to_string(number));
-    m_settings.m_peer_address = peer_address(number);
-    m_settings.m_seeds = {peer_address(1)};
-    start(network.factory());
-}
-
-running_instance::running_instance(
-    serving::catalog catalog, std::vector<serving::upstream_record> upstreams,
-    peer_network& network, int number, std::uint64_t revision)
-    : m_rules(add_catalog(std::move(catalog))), m_revision(revision),
-      m_upstreams(std::move(upstreams))
+    peer_network& network, int number, store_state store)
+    : m_rules(add_catalog(std::move(catalog))), m_revision(store.m_revision),
+      m_upstreams(std::move(upstreams)), m_blocks(std::move(store.m_blocks))
 {
     m_settings.m_instance = instance_id("entry-" + std::to_string(number));
     m_settings.m_peer_address = peer_address(number);
--- a/tests/entry/stand_in.hpp
+++ b/tests/entry/stand_in.hpp
@@ -16,6 +16,10 @@
 namespace daisylead::entry_test
 {
 
+/** @return a configuration with an open route for repeatable requests below
+ *          "/again/" at host "h", to service "s". */
+serving::catalog make_open_catalog(std::chrono::milliseconds target_latency);
+
 /** A connection accepted by a scripted upstream. */
 class served_connection
 {
@@ -112,6 +116,13 @@
     std::map<request::part_digest, request::blocked_part> m_parts;
 };
 
+/** What the store of an instance holds when it starts. */
+struct store_state
+{
+    std::uint64_t m_revision = 1; ///< of the configuration
+    std::shared_ptr<block_store> m_blocks = std::make_shared<block_store>();
+};
+
 /** One entry instance with a minimal adapter. Header fields: Id, Key, Parts,
  *  Deadline-Ms, Seal, Not-Run, Leaving, Retry-After, Rate-Limit. */
 class running_instance
@@ -125,16 +136,7 @@
      *  @param number of this instance, from 1; the first one is the seed */
     running_instance(serving::catalog catalog,
                      std::vector<serving::upstream_record> upstreams,
-                     peer_network& network, int number);
-    /** The same with a store that the test keeps. */
-    running_instance(serving::catalog catalog,
-                     std::vector<serving::upstream_record> upstreams,
-                     peer_network& network, int number,
-                     std::shared_ptr<block_store> blocks);
-    /** The same with a revision of the configuration in the store. */
-    running_instance(serving::catalog catalog,
-                     std::vector<serving::upstream_record> upstreams,
-                     peer_network& network, int number, std::uint64_t revision);
+                     peer_network& network, int number, store_state store = {});
     ~running_instance();
     running_instance(running_instance const&) = delete;
     running_instance& operator=(running_instance const&) = delete;
--- a/tests/entry/upstream_rate_test.cpp
+++ b/tests/entry/upstream_rate_test.cpp
@@ -28,23 +28,7 @@
 
 serving::catalog make_catalog()
 {
-    serving::catalog catalog;
-    catalog.m_version = config_version(1);
-    serving::route route;
-    route.m_id = route_id("r");
-    route.m_host = "h";
-    route.m_prefix = "/again/";
-    route.m_repeatable = true;
-    route.m_open = true;
-    route.m_timeout = 2000ms;
-    route.m_target_latency = 8000ms;
-    route.m_max_upstreams = 2;
-    route.m_split = {{service_id("s"), 1}};
-    catalog.m_routes = {route};
-    serving::service service;
-    service.m_id = service_id("s");
-    catalog.m_services = {service};
-    return catalog;
+    return make_open_catalog(8000ms);
 }
 
 /** An upstream that answers each request and notes when it came. */
