Add: [Entry] log when attempts begin on outdated weights and which orders are answered

The line of a request now says for each attempt when its bytes were sent, when the first bytes of the answer came and how long the weights of the engine had been outdated when it was sent. weights_order_sent says whether an engine answered an order, weights_named and weights_naming_time with which age a version was learnt.

--- a/include/daisylead/serving/upstream_pool_base.hpp
+++ b/include/daisylead/serving/upstream_pool_base.hpp
@@ -168,8 +168,9 @@
     void note_store_restored(time_point now);
 
     /** Records that a newer version of a model's weights was published.
-     *  @param named_at time of publication, or earlier */
-    void set_newest(model_id const& model, std::int64_t version,
+     *  @param named_at time of publication, or earlier
+     *  @return whether the version is newer than the known ones */
+    bool set_newest(model_id const& model, std::int64_t version,
                     time_point named_at);
 
     /** Corrects the publication time of a version by the time that a peer
--- a/src/entry/fleet_state.cpp
+++ b/src/entry/fleet_state.cpp
@@ -231,7 +231,15 @@
     time_point const now = boot_time();
     for (serving::weights_target const& target : catalog.m_weights)
     {
-        m_upstream_pool.set_newest(target.m_model, target.m_version, named_at);
+        if (m_upstream_pool.set_newest(target.m_model, target.m_version,
+                                       named_at))
+        {
+            telemetry::log(severity::info, "weights_named",
+                           {{"model", target.m_model.value()},
+                            {"version", target.m_version},
+                            {"age_ms", milliseconds_of(now - named_at)},
+                            {"assumed", !m_catalog}});
+        }
     }
     for (serving::organisation const& owner : catalog.m_organisations)
     {
@@ -778,6 +786,10 @@
         m_upstream_pool.correct_named_time(
             item.m_model, item.m_version,
             sent_at - std::chrono::milliseconds(item.m_age_ms));
+        telemetry::log(severity::info, "weights_naming_time",
+                       {{"model", item.m_model.value()},
+                        {"version", item.m_version},
+                        {"age_ms", item.m_age_ms}});
     }
 }
 
--- a/src/entry/request_attempt.cpp
+++ b/src/entry/request_attempt.cpp
@@ -115,7 +115,7 @@
 request_runner::attempt(serving::placement const& place)
 {
     upstream_id const id = place.m_upstream.m_id;
-    time_point const began = boot_time();
+    attempt_times times{boot_time(), {}, {}, {}};
     m_tried.insert(id);
     token_count const tokens = m_description.m_tokens.value_or(token_count());
     m_state.m_upstream_pool.note_sent(id, m_prefix, tokens);
@@ -133,7 +133,7 @@
         m_state.m_upstream_pool.note_ended(id, false, tokens);
         m_state.m_upstream_pool.note_unreachable(id, boot_time());
         m_state.note_crash({id, incarnation(place.m_upstream.m_started)});
-        note_attempt(place, "unreachable", began);
+        note_attempt(place, "unreachable", times);
         if (++m_unreachable >= max_unreachable)
         {
             m_refusal =
@@ -161,6 +161,9 @@
         co_return m_caller->is_gone() ? next_action::done : after_timeout();
     }
     ++m_sends;
+    times.m_sent = boot_time();
+    times.m_outdated_for = m_state.m_upstream_pool.outdated_for(
+        id, m_description.m_model, *times.m_sent);
     attempt_id const current_attempt(m_description.m_id + "/" +
                                      std::to_string(m_sends));
     m_state.m_quarantine.attempt_begun(
@@ -245,6 +248,7 @@
     }
     else
     {
+        times.m_answered = boot_time();
         m_state.m_upstream_pool.note_reachable(id);
         m_silence_watch->note_bytes();
         if (info.m_weights > 0)
@@ -268,7 +272,7 @@
         {
             // Only an answer to a request that was sent after the limit was
             // stated shows that the limit has ended.
-            m_state.note_rate({id, std::nullopt, began},
+            m_state.note_rate({id, std::nullopt, times.m_began},
                               place.m_upstream.m_started, {});
         }
         if (info.m_retry_after)
@@ -365,7 +369,7 @@
     m_state.m_upstream_pool.note_ended(id, first_bytes, tokens);
     m_state.note_suspects(m_state.m_quarantine.attempt_ended(
         current_attempt, outcome, boot_time()));
-    note_attempt(place, outcome_label, began);
+    note_attempt(place, outcome_label, times);
     co_return result;
 }
 
--- a/src/entry/request_runner.cpp
+++ b/src/entry/request_runner.cpp
@@ -515,25 +515,39 @@
 }
 
 void request_runner::note_attempt(serving::placement const& place,
-                                  std::string outcome, time_point began)
+                                  std::string outcome,
+                                  attempt_times const& times)
 {
     m_state.m_metrics.count("daisylead_attempts_total", {{"outcome", outcome}});
-    nlohmann::json entry = {
-        {"upstream", place.m_upstream.m_id.value()},
-        {"outcome", std::move(outcome)},
-        {"ms", std::chrono::duration_cast<std::chrono::milliseconds>(
-                   boot_time() - began)
-                   .count()},
-        {"weights", place.m_weights},
-        {"in_flight", place.m_in_flight},
-        {"candidates", place.m_candidates},
-        {"cached", place.m_likely_cached}};
+    auto const ms_since_began = [&times](std::optional<time_point> at)
+    {
+        return at ? std::chrono::duration_cast<std::chrono::milliseconds>(
+                        *at - times.m_began)
+                        .count()
+                  : -1;
+    };
+    nlohmann::json entry = {{"upstream", place.m_upstream.m_id.value()},
+                            {"outcome", std::move(outcome)},
+                            {"ms", ms_since_began(boot_time())},
+                            {"sent_ms", ms_since_began(times.m_sent)},
+                            {"answered_ms", ms_since_began(times.m_answered)},
+                            {"weights", place.m_weights},
+                            {"in_flight", place.m_in_flight},
+                            {"candidates", place.m_candidates},
+                            {"cached", place.m_likely_cached}};
     // The limit that was known when the upstream was chosen.
     if (place.m_rate_limit)
     {
         m_state.m_metrics.count("daisylead_rate_limited_attempts_total");
         entry["rate_limit"] = *place.m_rate_limit;
     }
+    if (times.m_outdated_for)
+    {
+        entry["outdated_ms"] =
+            std::chrono::duration_cast<std::chrono::milliseconds>(
+                *times.m_outdated_for)
+                .count();
+    }
     m_attempts.push_back(std::move(entry));
 }
 
--- a/src/entry/request_runner.hpp
+++ b/src/entry/request_runner.hpp
@@ -47,6 +47,15 @@
         std::optional<duration> m_retry_after;
     };
 
+    /** Times of an attempt for the log. */
+    struct attempt_times
+    {
+        time_point m_began;                   ///< before the connect
+        std::optional<time_point> m_sent;     ///< start of the request's bytes
+        std::optional<time_point> m_answered; ///< first bytes of the answer
+        std::optional<duration> m_outdated_for; ///< of the weights when sent
+    };
+
     std::optional<refusal> check();
     std::optional<refusal> check_key(time_point now);
     std::optional<refusal> check_quota(time_point now);
@@ -71,7 +80,7 @@
     duration suggested_retry_delay() const;
     awaitable<void> refuse(refusal const& reason);
     void note_attempt(serving::placement const& place, std::string outcome,
-                      time_point began);
+                      attempt_times const& times);
     nlohmann::json shared_part_ids() const;
     void log_end();
 
--- a/src/entry/rollout_controller.cpp
+++ b/src/entry/rollout_controller.cpp
@@ -379,6 +379,14 @@
                 {{"outcome", sent == order_outcome::accepted  ? "accepted"
                              : sent == order_outcome::refused ? "refused"
                                                               : "unknown"}});
+            telemetry::log(
+                severity::info, "weights_order_sent",
+                {{"upstream", engine.m_id.value()},
+                 {"version", version},
+                 {"expected_orders", order.m_expected_orders},
+                 {"answer", sent == order_outcome::accepted  ? "accepted"
+                            : sent == order_outcome::refused ? "refused"
+                                                             : "none"}});
             if (sent == order_outcome::refused)
             {
                 outcome = "refused";
--- a/src/serving/upstream_pool.cpp
+++ b/src/serving/upstream_pool.cpp
@@ -205,18 +205,20 @@
            m_rates.note(statement);
 }
 
-void upstream_pool::set_newest(model_id const& model, std::int64_t version,
+bool upstream_pool::set_newest(model_id const& model, std::int64_t version,
                                time_point named_at)
 {
     named_versions& named = m_named[model];
-    if (named.empty() || version > named.back().first)
+    if (!named.empty() && version <= named.back().first)
     {
-        named.emplace_back(version, named_at);
+        return false;
     }
+    named.emplace_back(version, named_at);
     if (named.size() > max_named_versions)
     {
         named.erase(named.begin());
     }
+    return true;
 }
 
 void upstream_pool::correct_named_time(model_id const& model,
