--- a/tests/entry/stand_in.cpp
+++ b/tests/entry/stand_in.cpp
@@ -4,6 +4,9 @@
 #include <daisylead/base/error_type.hpp>
 #include <daisylead/entry/http_caller_base.hpp>
 
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <poll.h>
@@ -131,6 +134,9 @@
     return answer;
 }
 
+/** Time without an answer after which the outcome of an order is unknown. */
+constexpr auto order_timeout = 500ms;
+
 /** Transport that sends nothing: these tests have no peers. */
 class no_transport : public peer::transport
 {
@@ -196,6 +202,7 @@
     {
         request.m_key = value_of(header, "Key");
     }
+    request.m_model = model_id(value_of(header, "Model"));
     std::istringstream parts(value_of(header, "Parts"));
     for (std::string part; std::getline(parts, part, ',');)
     {
@@ -443,9 +450,10 @@
 }
 
 running_instance::running_instance(
-    serving::catalog catalog, std::vector<serving::upstream_record> upstreams)
+    serving::catalog catalog, std::vector<serving::upstream_record> upstreams,
+    engine_control engines)
     : m_rules(add_catalog(std::move(catalog))),
-      m_upstreams(std::move(upstreams))
+      m_upstreams(std::move(upstreams)), m_engines(std::move(engines))
 {
     m_settings.m_instance = instance_id("entry-1");
     m_settings.m_peer_address = peer_address(1);
@@ -623,6 +631,34 @@
     {
         co_return true;
     };
+    calls.m_read_lease =
+        []() -> entry::awaitable<std::optional<serving::lease_row_state>>
+    {
+        co_return serving::lease_row_state{};
+    };
+    calls.m_write_lease = [](std::uint64_t expected, instance_id const&,
+                             duration) -> entry::awaitable<entry::lease_write>
+    {
+        co_return entry::lease_write{entry::lease_write::status::written,
+                                     expected + 1};
+    };
+    calls.m_read_report = [this](upstream_id const& engine, std::string const&)
+        -> entry::awaitable<std::optional<entry::engine_report>>
+    {
+        co_return m_engines.m_report ? m_engines.m_report(engine)
+                                     : std::nullopt;
+    };
+    calls.m_send_order = [this](entry::load_order const& order)
+        -> entry::awaitable<entry::order_outcome>
+    {
+        entry::order_outcome const outcome = m_engines.m_order(order);
+        if (outcome == entry::order_outcome::unknown)
+        {
+            boost::asio::steady_timer timer(m_context, order_timeout);
+            co_await timer.async_wait(boost::asio::use_awaitable);
+        }
+        co_return outcome;
+    };
     return calls;
 }
 
--- a/tests/entry/stand_in.hpp
+++ b/tests/entry/stand_in.hpp
@@ -123,15 +123,26 @@
     std::shared_ptr<block_store> m_blocks = std::make_shared<block_store>();
 };
 
+/** Engines of a test as the rollout of weights sees them. The hooks run on the
+ *  thread of the instance. */
+struct engine_control
+{
+    std::function<std::optional<entry::engine_report>(upstream_id const&)>
+        m_report;
+    /** No answer comes in time for an unknown outcome. */
+    std::function<entry::order_outcome(entry::load_order const&)> m_order;
+};
+
 /** One entry instance with a minimal adapter. Header fields: Id, Key, Parts,
- *  Deadline-Ms, Seal, Not-Run, Leaving, Retry-After, Rate-Limit. */
+ *  Model, Deadline-Ms, Seal, Not-Run, Leaving, Retry-After, Rate-Limit. */
 class running_instance
 {
 public:
     /** @param catalog configuration in force
      *  @param upstreams in service discovery */
     running_instance(serving::catalog catalog,
-                     std::vector<serving::upstream_record> upstreams);
+                     std::vector<serving::upstream_record> upstreams,
+                     engine_control engines = {});
     /** An instance that exchanges news with the others of a network.
      *  @param number of this instance, from 1; the first one is the seed */
     running_instance(serving::catalog catalog,
@@ -182,6 +193,7 @@
     std::string m_rules;          ///< see add_catalog(), guarded by m_mutex
     std::uint64_t m_revision = 1; ///< guarded by m_mutex
     std::vector<serving::upstream_record> m_upstreams;
+    engine_control m_engines;
     std::atomic<int> m_rules_reads = 0;
     std::atomic<bool> m_store_failed = false;
     std::shared_ptr<block_store> m_blocks = std::make_shared<block_store>();
