Fix: [Serving] an order without an answer held up the rollout of weights for 8 s

Cause: an order to load that got no answer was waited for like an accepted one, until max_load_time of 8 s: its engine was out of service and one of the few places for loading engines was taken. With half of the orders unanswered the rollout of twelve engines took longer than the weights may be old. Class: an unanswered message is taken for an accepted one, and a scarce place is held for it by a timeout of its own.

Evidence: the new lines weights_order_sent show 19 orders in 31 s, all without an answer, in groups of two or three with 4 to 8 s between them; no engine was ordered twice in that time.

Change: an engine that leaves an order unanswered goes back into service and is ordered again with the same expected number of accepted orders, so that it carries out one of them only. A load counts as accepted by the engine's word only.

--- a/include/daisylead/config/entry_settings_type.hpp
+++ b/include/daisylead/config/entry_settings_type.hpp
@@ -30,12 +30,15 @@
     milliseconds m_news_interval{400};   ///< [peers] news_interval_ms
     milliseconds m_key_validity{5000};   ///< [bounds] key_validity_ms
     milliseconds m_order_handover{3000}; ///< [bounds] order_handover_ms
-    double m_retry_ratio = 0.2;          ///< [bounds] retry_ratio
-    std::int64_t m_retry_extra = 100;    ///< [bounds] retry_extra
-    milliseconds m_retry_window{10000};  ///< [bounds] retry_window_s
-    milliseconds m_grace{8000};          ///< [bounds] grace_s
-    std::int64_t m_load_percent = 16;    ///< [orders] load_percent
-    std::string m_log_level = "info";    ///< [log] level
+    /** [bounds] weights_max_age_ms: requests begin on weights that have been
+     *  outdated for no longer than this. */
+    milliseconds m_weights_max_age{8000};
+    double m_retry_ratio = 0.2;         ///< [bounds] retry_ratio
+    std::int64_t m_retry_extra = 100;   ///< [bounds] retry_extra
+    milliseconds m_retry_window{10000}; ///< [bounds] retry_window_s
+    milliseconds m_grace{8000};         ///< [bounds] grace_s
+    std::int64_t m_load_percent = 16;   ///< [orders] load_percent
+    std::string m_log_level = "info";   ///< [log] level
 };
 
 } // namespace daisylead::config
--- a/src/config/entry_settings.cpp
+++ b/src/config/entry_settings.cpp
@@ -100,6 +100,8 @@
             "key_validity_ms", m_result.m_key_validity, validity_range);
         m_result.m_order_handover = reader.duration_ms(
             "order_handover_ms", m_result.m_order_handover, interval_range);
+        m_result.m_weights_max_age = reader.duration_ms(
+            "weights_max_age_ms", m_result.m_weights_max_age, validity_range);
         read_fraction(reader, "retry_ratio", max_ratio, m_result.m_retry_ratio);
         m_result.m_retry_extra =
             reader.number("retry_extra", m_result.m_retry_extra, extra_range);
--- a/src/config/rendered_settings.cpp
+++ b/src/config/rendered_settings.cpp
@@ -44,6 +44,10 @@
     number_rule{
         "bounds", "key_validity_ms", {500, most_validity_ms}, rounding::down},
     number_rule{"bounds", "order_handover_ms", {10, most_ms}, rounding::up},
+    number_rule{"bounds",
+                "weights_max_age_ms",
+                {500, most_validity_ms},
+                rounding::down},
     number_rule{"bounds", "retry_extra", {0, most_extra}, rounding::down},
     number_rule{"bounds", "retry_window_s", {1, most_window_s}, rounding::up},
     number_rule{"bounds", "grace_s", {1, most_window_s}, rounding::down},
--- a/src/entry/rollout_controller.cpp
+++ b/src/entry/rollout_controller.cpp
@@ -46,8 +46,13 @@
  *  hundred milliseconds old. */
 constexpr std::chrono::milliseconds report_interval = 110ms;
 
-/** Timeout of a load, after which it counts as lost. */
-constexpr duration max_load_time = 8s;
+/** An engine that has accepted an order is not loading after this many reports
+ *  in a row without an order in progress; a report is some hundred milliseconds
+ *  old. */
+constexpr int max_idle_reports = 6;
+
+/** Outcome of an engine that has the ordered weights, in the log. */
+constexpr char const* loaded_outcome = "loaded";
 
 /** Interval of renewing the marks of loading engines, which expire after
  *  about three intervals. */
@@ -252,6 +257,10 @@
     serving::rollout_options options;
     options.m_load_share =
         static_cast<double>(m_state.m_settings.m_load_percent) / 100;
+    duration const max_age = m_state.m_settings.m_weights_max_age;
+    options.m_urgent_after = max_age * 5 / 8;
+    options.m_max_load_time = max_age;
+    options.m_load_slot_time = max_age / 2;
     serving::rollout_planner& planner =
         m_planners.try_emplace(model, options).first->second;
     if (planner.target() < version)
@@ -296,11 +305,18 @@
             continue;
         }
         serving::upstream_record const& engine = found->second;
-        if (action.m_step == serving::rollout_step::order)
+        if (action.m_step == serving::rollout_step::order ||
+            action.m_step == serving::rollout_step::check)
         {
+            engine_task const task{engine,
+                                   model,
+                                   action.m_version,
+                                   action.m_step ==
+                                       serving::rollout_step::order,
+                                   engine.m_weights.at(model),
+                                   now};
             run_once(m_executor, "weights_order",
-                     [this, engine, model, version = action.m_version]
-                     { return load(engine, model, version); });
+                     [this, task] { return run_task(task); });
         }
         else
         {
@@ -327,94 +343,158 @@
     m_state.publish_weights(*token, news, boot_time());
 }
 
-awaitable<void> rollout_controller::load(serving::upstream_record engine,
-                                         model_id model, std::int64_t version)
+awaitable<void> rollout_controller::run_task(engine_task task)
 {
-    serving::rollout_planner& planner = m_planners.at(model);
-    time_point const began = boot_time();
-    std::string outcome = "lost";
-    bool ordered = false;
-    while (boot_time() - began < max_load_time)
+    serving::rollout_planner& planner = m_planners.at(task.m_model);
+    std::optional<engine_report> const report =
+        co_await m_state.m_adapter.m_read_report(task.m_engine.m_id,
+                                                 task.m_engine.m_address);
+    if (!report)
+    {
+        end_task(task, "no_report");
+        co_return;
+    }
+    note_report(task, *report);
+    if (task.m_weights >= task.m_version && !report->m_busy)
+    {
+        end_task(task, loaded_outcome);
+        co_return;
+    }
+    if (report->m_busy)
+    {
+        planner.note_late_load(task.m_engine.m_id, boot_time());
+        publish_state(task, true);
+        co_await wait_for_load(task);
+        co_return;
+    }
+    if (!task.m_orders)
+    {
+        planner.note_checked(task.m_engine.m_id, boot_time());
+        co_return;
+    }
+    auto const token = m_lease.token(boot_time());
+    if (!token)
+    {
+        end_task(task, "lease_lost");
+        co_return;
+    }
+    switch (co_await send_order(task, *token, report->m_accepted_orders))
+    {
+    case order_outcome::accepted:
+        planner.note_accepted(task.m_engine.m_id, boot_time());
+        publish_state(task, true);
+        co_await pause(m_executor, min_load_time);
+        co_await wait_for_load(task);
+        break;
+    case order_outcome::refused:
+        end_task(task, "refused");
+        break;
+    case order_outcome::unknown:
+        planner.note_unanswered(task.m_engine.m_id, task.m_engine.m_started,
+                                task.m_engine.m_weights.at(task.m_model),
+                                boot_time());
+        publish_state(task, false);
+        break;
+    }
+}
+
+awaitable<order_outcome>
+rollout_controller::send_order(engine_task const& task, std::uint64_t token,
+                               std::uint64_t accepted_orders)
+{
+    // A named variable, since g++ 12 destroys a braced temporary in an awaited
+    // call twice.
+    load_order const order{task.m_engine.m_id,
+                           task.m_engine.m_address,
+                           task.m_model,
+                           task.m_version,
+                           token,
+                           accepted_orders};
+    ++m_pending_orders;
+    order_outcome const sent = co_await m_state.m_adapter.m_send_order(order);
+    --m_pending_orders;
+    m_last_order_at = boot_time();
+    std::string const answer = sent == order_outcome::accepted  ? "accepted"
+                               : sent == order_outcome::refused ? "refused"
+                                                                : "none";
+    m_state.m_metrics.count(
+        "daisylead_orders_total",
+        {{"outcome", sent == order_outcome::unknown ? "unknown" : answer}});
+    telemetry::log(severity::info, "weights_order_sent",
+                   {{"upstream", task.m_engine.m_id.value()},
+                    {"version", task.m_version},
+                    {"expected_orders", accepted_orders},
+                    {"answer", answer}});
+    co_return sent;
+}
+
+/** Waits until an engine that has accepted an order has carried it out. */
+awaitable<void> rollout_controller::wait_for_load(engine_task& task)
+{
+    duration const max_load_time =
+        m_planners.at(task.m_model).options().m_max_load_time;
+    int idle_reports = 0;
+    while (boot_time() - task.m_began < max_load_time)
     {
         std::optional<engine_report> const report =
-            co_await m_state.m_adapter.m_read_report(engine.m_id,
-                                                     engine.m_address);
-        auto const loaded =
-            report ? report->m_weights.find(model)
-                   : std::map<model_id, std::int64_t>::const_iterator{};
-        if (!report)
+            co_await m_state.m_adapter.m_read_report(task.m_engine.m_id,
+                                                     task.m_engine.m_address);
+        if (report)
         {
-            outcome = "no_report";
-            if (!ordered)
+            note_report(task, *report);
+            if (!report->m_busy && task.m_weights >= task.m_version)
             {
-                break;
+                end_task(task, loaded_outcome);
+                co_return;
             }
-        }
-        else if (loaded != report->m_weights.end() &&
-                 loaded->second >= version && !report->m_busy)
-        {
-            outcome = "loaded";
-            break;
-        }
-        else if (!report->m_busy && !ordered)
-        {
-            auto const token = m_lease.token(boot_time());
-            if (!token)
+            idle_reports = report->m_busy ? 0 : idle_reports + 1;
+            if (idle_reports >= max_idle_reports)
             {
-                outcome = "lease_lost";
-                break;
+                end_task(task, "not_loaded");
+                co_return;
             }
-            // A named variable, since g++ 12 destroys a braced temporary in an
-            // awaited call twice.
-            load_order const order{engine.m_id, engine.m_address,
-                                   model,       version,
-                                   *token,      report->m_accepted_orders};
-            ++m_pending_orders;
-            order_outcome const sent =
-                co_await m_state.m_adapter.m_send_order(order);
-            --m_pending_orders;
-            m_last_order_at = boot_time();
-            m_state.m_metrics.count(
-                "daisylead_orders_total",
-                {{"outcome", sent == order_outcome::accepted  ? "accepted"
-                             : sent == order_outcome::refused ? "refused"
-                                                              : "unknown"}});
-            telemetry::log(
-                severity::info, "weights_order_sent",
-                {{"upstream", engine.m_id.value()},
-                 {"version", version},
-                 {"expected_orders", order.m_expected_orders},
-                 {"answer", sent == order_outcome::accepted  ? "accepted"
-                            : sent == order_outcome::refused ? "refused"
-                                                             : "none"}});
-            if (sent == order_outcome::refused)
-            {
-                outcome = "refused";
-                break;
-            }
-            // An order without an answer may still be executed; the reports
-            // show whether it is.
-            ordered = true;
-            co_await pause(m_executor, min_load_time);
         }
         co_await pause(m_executor, report_interval);
     }
-    bool const done = outcome == "loaded";
+    end_task(task, "lost");
+}
+
+void rollout_controller::note_report(engine_task& task,
+                                     engine_report const& report)
+{
+    auto const loaded = report.m_weights.find(task.m_model);
+    if (loaded != report.m_weights.end())
+    {
+        task.m_weights = std::max(task.m_weights, loaded->second);
+    }
+}
+
+void rollout_controller::end_task(engine_task const& task,
+                                  std::string const& outcome)
+{
+    bool const done = outcome == loaded_outcome;
     telemetry::log(
         done ? severity::info : severity::warning, "weights_order",
-        {{"upstream", engine.m_id.value()},
-         {"model", model.value()},
-         {"version", version},
+        {{"upstream", task.m_engine.m_id.value()},
+         {"model", task.m_model.value()},
+         {"version", task.m_version},
          {"outcome", outcome},
          {"ms", std::chrono::duration_cast<std::chrono::milliseconds>(
-                    boot_time() - began)
+                    boot_time() - task.m_began)
                     .count()}});
     if (!done)
     {
-        planner.note_failed(engine.m_id, boot_time());
+        m_planners.at(task.m_model)
+            .note_failed(task.m_engine.m_id, boot_time());
     }
-    publish({engine.m_id, engine.m_started, model,
-             done ? version : engine.m_weights.at(model), false});
+    publish_state(task, false);
+}
+
+void rollout_controller::publish_state(engine_task const& task,
+                                       bool is_switching)
+{
+    publish({task.m_engine.m_id, task.m_engine.m_started, task.m_model,
+             task.m_weights, is_switching});
     m_exchange.send_now();
 }
 
--- a/src/entry/rollout_controller.hpp
+++ b/src/entry/rollout_controller.hpp
@@ -26,8 +26,25 @@
 private:
     awaitable<void> loop();
     awaitable<bool> acquire_or_renew_lease();
-    awaitable<void> load(serving::upstream_record engine, model_id model,
-                         std::int64_t version);
+    /** A step of the rollout for one engine. */
+    struct engine_task
+    {
+        serving::upstream_record m_engine;
+        model_id m_model;
+        std::int64_t m_version = 0; ///< to load
+        bool m_orders = false;      ///< send an order if it is not loading
+        std::int64_t m_weights = 0; ///< last known version
+        time_point m_began;
+    };
+
+    awaitable<void> run_task(engine_task task);
+    awaitable<order_outcome> send_order(engine_task const& task,
+                                        std::uint64_t token,
+                                        std::uint64_t accepted_orders);
+    awaitable<void> wait_for_load(engine_task& task);
+    static void note_report(engine_task& task, engine_report const& report);
+    void end_task(engine_task const& task, std::string const& outcome);
+    void publish_state(engine_task const& task, bool is_switching);
     std::vector<serving::upstream_record> engines(model_id const& model) const;
     bool has_outdated_engines() const;
     void publish(serving::weights_news const& news);
