Fix: [Entry] a request could begin long after the weights of its engine had expired

Cause: the age of an engine's weights was checked when a request was placed. Between that and its begin lie a connect, the engine's queue, a prompt that is read, and at times a silence of the engine; the fixed margins of 1 to 3.5 s bounded none of these. Class: a validity is checked when work is handed over and not when it is used.

Evidence: the new fields of the log show attempts sent 5.0 to 6.2 s after the publication whose first bytes came 1.7 to 2.8 s later.

Change: the age is checked again after the connect, and an attempt that has not begun 250 ms before its engine's weights expire is ended; the request goes to another engine if it may be repeated. One that may run only once cannot be taken back, so it always needs the larger margin. All limits follow from the setting weights_max_age_ms, also the age that a process assumes at its start.

--- a/include/daisylead/serving/upstream_pool_base.hpp
+++ b/include/daisylead/serving/upstream_pool_base.hpp
@@ -53,19 +53,26 @@
     duration m_prefer_newest_after = std::chrono::milliseconds(700);
     /** Cost of older weights from that time on. */
     duration m_old_weights_cost = std::chrono::milliseconds(40);
-    /** Time after the publication of newer weights from which older weights are
-     *  not used. */
-    duration m_old_weights_limit = std::chrono::milliseconds(7000);
+    /** Time after the publication of newer weights from which no request may
+     *  begin on older ones. */
+    duration m_max_weights_age = std::chrono::milliseconds(8000);
+    /** Margin before that time in which no request is sent to an engine with
+     *  older weights. */
+    duration m_send_margin = std::chrono::milliseconds(1000);
+    /** Counterpart for an engine without a free slot or with
+     *  m_usable_memory_fraction of its memory in use: a request waits there
+     *  before it begins. From half of either on, the margin grows linearly. A
+     *  request that may not be repeated always needs it, as it cannot be taken
+     *  back. */
+    duration m_send_margin_full = std::chrono::milliseconds(3500);
+    /** Margin before that time in which a request that has not begun is taken
+     *  back. */
+    duration m_recall_margin = std::chrono::milliseconds(250);
     /** Cost of an excess of requests by the whole memory of an engine: about
      *  the duration of a request, for which the next one waits. */
     duration m_memory_cost = std::chrono::milliseconds(1500);
     /** Fraction of an engine's memory that requests in progress can use. */
     double m_usable_memory_fraction = 0.7;
-    /** Counterpart of m_old_weights_limit for an engine without a free slot or
-     *  with m_usable_memory_fraction of its memory in use: a request waits
-     *  there before it begins. From half of either on, the limit falls
-     *  linearly. */
-    duration m_old_weights_limit_full = std::chrono::milliseconds(4500);
     /** Max. requests at an upstream per slot, over all instances. */
     double m_max_per_slot = 2.0;
     /** TTL of the state that an engine is loading; the holder of the order
@@ -85,6 +92,7 @@
     token_count m_tokens;        ///< prompt and output tokens
     token_count m_capacity;      ///< KV cache memory of an engine; 0: unknown
     std::set<upstream_id> m_excluded; ///< upstreams already tried
+    bool m_repeatable = true;         ///< another upstream may run it, too
     zone_id m_zone;                   ///< zone of this instance
 };
 
@@ -298,6 +306,16 @@
                                          model_id const& model,
                                          time_point now) const;
 
+    /** @return whether a request may still be sent to the engine, as far as the
+     *          age of its weights is concerned. */
+    bool may_send(upstream_id const& id, model_id const& model,
+                  time_point now) const;
+
+    /** @return whether a request that has not begun at the engine must be taken
+     *          back, as its weights are about to be too old. */
+    bool must_recall(upstream_id const& id, model_id const& model,
+                     time_point now) const;
+
     /** @return whether the engine takes no new requests because it loads. */
     bool is_switching(upstream_id const& id, time_point now) const;
 
@@ -352,7 +370,8 @@
     static double memory_use(entry const& item, token_count capacity,
                              token_count added);
     double occupancy(entry const& item, placement_request const& request) const;
-    duration old_weights_limit(double occupancy) const;
+    duration old_weights_limit(double occupancy, bool repeatable) const;
+    duration latest(duration margin) const;
     void note_rate_obstacle(placement& result, upstream_id const& id,
                             time_point next_send, time_point now) const;
 
--- a/src/entry/fleet_state.cpp
+++ b/src/entry/fleet_state.cpp
@@ -41,13 +41,13 @@
  *  socket buffers for this long after its last check. */
 constexpr duration key_validity_margin = 600ms;
 
-/** Assumed age of a change that a process finds at its start, until a peer
- *  reports the real age; old weights may be used for one second more. */
-constexpr duration assumed_naming_age = 6s;
+/** Part of the maximum age of weights that remains after a process has found
+ *  versions at its start, until a peer reports their real age. */
+constexpr duration assumed_time_left = 2s;
 
-/** After running for this long, a process has observed all ages that matter
- *  itself. */
-constexpr duration naming_times_known_after = 10s;
+/** After running for this much longer than weights may be outdated, a process
+ *  has observed all ages that matter itself. */
+constexpr duration naming_times_margin = 2s;
 
 /** TTL of a share in an upstream's request rate: three intervals of the relay's
  *  replies. */
@@ -101,6 +101,14 @@
            weights;
 }
 
+serving::upstream_pool_options
+pool_options(config::entry_settings const& settings)
+{
+    serving::upstream_pool_options options;
+    options.m_max_weights_age = settings.m_weights_max_age;
+    return options;
+}
+
 double milliseconds_of(duration value)
 {
     return std::chrono::duration<double, std::milli>(value).count();
@@ -115,7 +123,7 @@
                          std::int64_t started)
     : m_settings(settings), m_adapter(platform_adapter), m_metrics(metrics),
       m_upstream_pool(
-          {}, &random_number,
+          pool_options(settings), &random_number,
           [this](upstream_id const& id, double per_second, time_point now)
           { return rate_share(id, per_second, now); }),
       m_quotas(peer_silent_after, quota_initial_fill),
@@ -175,7 +183,9 @@
     // limits.
     auto const confirmed_age = m_rules_freshness.age(boot_time());
     time_point const named_at =
-        boot_time() - confirmed_age.value_or(assumed_naming_age);
+        boot_time() -
+        confirmed_age.value_or(std::max<duration>(
+            0s, m_settings.m_weights_max_age - assumed_time_left));
     if (is_newest_state)
     {
         m_rules_freshness.note_read(document.m_revision, read_at);
@@ -755,7 +765,8 @@
 {
     std::vector<serving::named_weights> named;
     if (!m_catalog ||
-        (m_naming_times_assumed && now - m_started < naming_times_known_after))
+        (m_naming_times_assumed &&
+         now - m_started < m_settings.m_weights_max_age + naming_times_margin))
     {
         return named;
     }
--- a/src/entry/request_attempt.cpp
+++ b/src/entry/request_attempt.cpp
@@ -153,6 +153,15 @@
                         : *refused;
         co_return next_action::refuse;
     }
+    // The weights may have become too old while the connection was established.
+    if (m_route.m_prompted && !m_state.m_upstream_pool.may_send(
+                                  id, m_description.m_model, boot_time()))
+    {
+        m_state.m_upstream_pool.note_ended(id, false, tokens);
+        m_upstream->abort();
+        note_attempt(place, "outdated", times);
+        co_return next_action::retry;
+    }
     auto const left = time_left();
     if (left < 1ms || m_caller->is_gone())
     {
@@ -184,9 +193,9 @@
                         .m_target = m_route.m_target_latency,
                         .m_repeatable = m_route.m_repeatable,
                         .m_abort = [connection = m_upstream]
-                        {
-                            connection->abort();
-                        }});
+                        { connection->abort(); },
+                        .m_model = m_route.m_prompted ? m_description.m_model
+                                                      : model_id()});
 
     answer_info info;
     io_result read_result = io_result::ok;
@@ -237,13 +246,19 @@
         }
         else
         {
-            // A silent upstream does not make this request a suspect.
-            bool const silent = m_silence_watch->is_aborted();
-            outcome =
-                silent ? attempt_outcome::timed_out : attempt_outcome::broken;
-            outcome_label = silent ? "silent" : "broken";
-            result = after_failure(true, silent ? "upstream_silent"
-                                                : "upstream_broke_off");
+            // An attempt that this instance ended does not make the request a
+            // suspect.
+            abort_reason const reason = m_silence_watch->reason();
+            outcome = reason == abort_reason::none ? attempt_outcome::broken
+                                                   : attempt_outcome::timed_out;
+            outcome_label = reason == abort_reason::silent     ? "silent"
+                            : reason == abort_reason::outdated ? "outdated"
+                                                               : "broken";
+            result = after_failure(true, reason == abort_reason::silent
+                                             ? "upstream_silent"
+                                         : reason == abort_reason::outdated
+                                             ? "weights_outdated"
+                                             : "upstream_broke_off");
         }
     }
     else
@@ -335,17 +350,19 @@
             }
             if (outcome_label.empty())
             {
+                bool const is_silent =
+                    m_silence_watch->reason() != abort_reason::none;
                 outcome_label =
-                    m_silence_watch->is_aborted() ? "silent"
+                    is_silent ? "silent"
                     : result == next_action::done && !m_caller->is_gone()
                         ? "status_" + std::to_string(status)
                     : m_caller->is_gone() ? "caller_left"
                                           : "broke_off";
-                outcome =
-                    m_silence_watch->is_aborted() ? attempt_outcome::timed_out
-                    : m_caller->is_gone()         ? attempt_outcome::cancelled
-                    : result == next_action::done ? attempt_outcome::complete
-                                                  : attempt_outcome::broken;
+                outcome = is_silent             ? attempt_outcome::timed_out
+                          : m_caller->is_gone() ? attempt_outcome::cancelled
+                          : result == next_action::done
+                              ? attempt_outcome::complete
+                              : attempt_outcome::broken;
             }
         }
     }
--- a/src/entry/request_runner.cpp
+++ b/src/entry/request_runner.cpp
@@ -368,6 +368,7 @@
     placement_query.m_tokens = m_description.m_tokens.value_or(token_count());
     placement_query.m_capacity = upstream_capacity();
     placement_query.m_zone = m_state.m_settings.m_zone;
+    placement_query.m_repeatable = m_route.m_repeatable;
     for (;;)
     {
         time_point const now = boot_time();
--- a/src/entry/silence_detector.cpp
+++ b/src/entry/silence_detector.cpp
@@ -61,44 +61,24 @@
 {
     for (watched_attempt& item : m_watched->m_attempts)
     {
-        if (item.m_aborted ||
-            now - item.m_last_bytes_at < m_options.m_min_overdue)
+        if (item.m_aborted != abort_reason::none)
         {
             continue;
         }
-        auto& times = m_watched->m_upstreams[item.m_upstream];
-        serving::silent_attempt attempt;
-        attempt.m_silent = now - item.m_last_bytes_at;
-        attempt.m_target = item.m_target;
-        attempt.m_repeatable = item.m_repeatable;
-        attempt.m_upstream_lost =
-            m_state.m_upstream_pool.is_lost(item.m_upstream);
-        attempt.m_upstream_silent = now - times.m_last_bytes_at;
-        attempt.m_since_probe = now - times.m_last_probe_at;
-        attempt.m_utilisation = m_state.m_upstream_pool.utilisation(
-            item.m_upstream, item.m_capacity);
-        switch (serving::decide_silent_attempt(m_options, attempt))
+        if (!item.m_begun && !item.m_model.empty() &&
+            m_state.m_upstream_pool.must_recall(item.m_upstream, item.m_model,
+                                                now))
         {
-        case serving::silence_action::wait:
-            break;
-        case serving::silence_action::probe:
-            times.m_last_probe_at = now;
-            run_once(m_executor, "silence_probe",
-                     [this, id = item.m_upstream, address = item.m_address]
-                     { return probe(id, address); });
-            break;
-        case serving::silence_action::end:
-            telemetry::log(severity::warning, "silent_attempt_ended",
-                           {{"request", item.m_request},
-                            {"upstream", item.m_upstream.value()},
-                            {"silent_ms", milliseconds_of(attempt.m_silent)},
-                            {"upstream_lost", attempt.m_upstream_lost},
-                            {"upstream_silent_ms",
-                             milliseconds_of(attempt.m_upstream_silent)},
-                            {"taken", attempt.m_utilisation}});
-            item.m_aborted = true;
-            item.m_abort();
-            break;
+            telemetry::log(
+                severity::warning, "outdated_attempt_ended",
+                {{"request", item.m_request},
+                 {"upstream", item.m_upstream.value()},
+                 {"waited_ms", milliseconds_of(now - item.m_last_bytes_at)}});
+            abort(item, abort_reason::outdated);
+        }
+        else if (now - item.m_last_bytes_at >= m_options.m_min_overdue)
+        {
+            check_silence(item, now);
         }
     }
     std::erase_if(m_watched->m_upstreams,
@@ -110,6 +90,48 @@
                   });
 }
 
+void silence_detector::check_silence(watched_attempt& item, time_point now)
+{
+    auto& times = m_watched->m_upstreams[item.m_upstream];
+    serving::silent_attempt attempt;
+    attempt.m_silent = now - item.m_last_bytes_at;
+    attempt.m_target = item.m_target;
+    attempt.m_repeatable = item.m_repeatable;
+    attempt.m_upstream_lost = m_state.m_upstream_pool.is_lost(item.m_upstream);
+    attempt.m_upstream_silent = now - times.m_last_bytes_at;
+    attempt.m_since_probe = now - times.m_last_probe_at;
+    attempt.m_utilisation =
+        m_state.m_upstream_pool.utilisation(item.m_upstream, item.m_capacity);
+    switch (serving::decide_silent_attempt(m_options, attempt))
+    {
+    case serving::silence_action::wait:
+        break;
+    case serving::silence_action::probe:
+        times.m_last_probe_at = now;
+        run_once(m_executor, "silence_probe",
+                 [this, id = item.m_upstream, address = item.m_address]
+                 { return probe(id, address); });
+        break;
+    case serving::silence_action::end:
+        telemetry::log(
+            severity::warning, "silent_attempt_ended",
+            {{"request", item.m_request},
+             {"upstream", item.m_upstream.value()},
+             {"silent_ms", milliseconds_of(attempt.m_silent)},
+             {"upstream_lost", attempt.m_upstream_lost},
+             {"upstream_silent_ms", milliseconds_of(attempt.m_upstream_silent)},
+             {"taken", attempt.m_utilisation}});
+        abort(item, abort_reason::silent);
+        break;
+    }
+}
+
+void silence_detector::abort(watched_attempt& item, abort_reason reason)
+{
+    item.m_aborted = reason;
+    item.m_abort();
+}
+
 awaitable<void> silence_detector::probe(upstream_id id, std::string address)
 {
     auto const connection =
@@ -152,6 +174,7 @@
 
 void silence_detector::watch::note_bytes()
 {
+    m_attempt->m_begun = true;
     m_attempt->m_last_bytes_at = boot_time();
     m_watched->m_upstreams[m_attempt->m_upstream].m_last_bytes_at =
         m_attempt->m_last_bytes_at;
--- a/src/entry/silence_detector.hpp
+++ b/src/entry/silence_detector.hpp
@@ -15,6 +15,14 @@
 namespace daisylead::entry
 {
 
+/** Why the detector closed the connection of an attempt. */
+enum class abort_reason
+{
+    none,    ///< it did not
+    silent,  ///< the upstream sends nothing
+    outdated ///< not begun while the weights of the engine may be used
+};
+
 /** An attempt that waits for bytes of an upstream. */
 struct watched_attempt
 {
@@ -26,7 +34,9 @@
     bool m_repeatable = false;     ///< another upstream may run it
     std::function<void()> m_abort; ///< closes its connection
     time_point m_last_bytes_at{};  ///< time of the send or of the last bytes
-    bool m_aborted = false;        ///< m_abort was called
+    model_id m_model;              ///< empty: no prompt
+    bool m_begun = false;          ///< bytes of the answer have come
+    abort_reason m_aborted = abort_reason::none; ///< why m_abort was called
 };
 
 /** All watched attempts, and the times of their upstreams. */
@@ -43,7 +53,8 @@
 };
 
 /** Checks all attempts at intervals, probes upstreams that send nothing, and
- *  closes the connections of attempts that another upstream should run. */
+ *  closes the connections of attempts that another upstream should run, or that
+ *  would begin on weights that are too old. */
 class silence_detector
 {
 public:
@@ -65,8 +76,8 @@
         /** Bytes of the answer arrived. */
         void note_bytes();
 
-        /** @return whether the detector closed the connection. */
-        bool is_aborted() const
+        /** @return why the detector closed the connection. */
+        abort_reason reason() const
         {
             return m_attempt->m_aborted;
         }
@@ -80,6 +91,8 @@
 private:
     awaitable<void> loop();
     void check(time_point now);
+    void check_silence(watched_attempt& item, time_point now);
+    static void abort(watched_attempt& item, abort_reason reason);
     awaitable<void> probe(upstream_id id, std::string address);
 
     boost::asio::any_io_executor m_executor;
--- a/src/serving/upstream_pool.cpp
+++ b/src/serving/upstream_pool.cpp
@@ -292,14 +292,37 @@
                         m_options.m_usable_memory_fraction);
 }
 
-duration upstream_pool::old_weights_limit(double occupancy) const
+/** @return age of weights that leaves the margin, but at least half of the
+ *          maximum. */
+duration upstream_pool::latest(duration margin) const
 {
-    double const share = std::clamp(occupancy * 2 - 1, 0.0, 1.0);
-    return m_options.m_old_weights_limit -
-           std::chrono::duration_cast<duration>(
-               share * std::chrono::duration<double>(
-                           m_options.m_old_weights_limit -
-                           m_options.m_old_weights_limit_full));
+    return std::max(m_options.m_max_weights_age - margin,
+                    m_options.m_max_weights_age / 2);
+}
+
+duration upstream_pool::old_weights_limit(double occupancy,
+                                          bool repeatable) const
+{
+    duration const idle = latest(m_options.m_send_margin);
+    duration const full = latest(m_options.m_send_margin_full);
+    double const share =
+        repeatable ? std::clamp(occupancy * 2 - 1, 0.0, 1.0) : 1;
+    return idle - std::chrono::duration_cast<duration>(
+                      share * std::chrono::duration<double>(idle - full));
+}
+
+bool upstream_pool::may_send(upstream_id const& id, model_id const& model,
+                             time_point now) const
+{
+    auto const outdated_for = this->outdated_for(id, model, now);
+    return !outdated_for || *outdated_for <= latest(m_options.m_send_margin);
+}
+
+bool upstream_pool::must_recall(upstream_id const& id, model_id const& model,
+                                time_point now) const
+{
+    auto const outdated_for = this->outdated_for(id, model, now);
+    return outdated_for && *outdated_for > latest(m_options.m_recall_margin);
 }
 
 duration upstream_pool::cost(entry const& item,
@@ -384,7 +407,8 @@
             auto const outdated_for =
                 this->outdated_for(item, request.m_model, now);
             if (outdated_for &&
-                *outdated_for > old_weights_limit(occupancy(item, request)))
+                *outdated_for > old_weights_limit(occupancy(item, request),
+                                                  request.m_repeatable))
             {
                 continue;
             }
--- a/tests/serving/upstream_pool_test.cpp
+++ b/tests/serving/upstream_pool_test.cpp
@@ -173,6 +173,45 @@
           no_placement::no_upstream);
 }
 
+TEST_CASE("a request that cannot be taken back is not sent to an engine whose "
+          "weights expire soon")
+{
+    upstream_pool pool = make_pool();
+    pool.take_list({make_engine(0, 1)}, start);
+    pool.set_newest(model, 2, start);
+    placement_request request = make_request();
+    CHECK(pool.place(request, start + 5s).m_reason == no_placement::none);
+    request.m_repeatable = false;
+    CHECK(pool.place(request, start + 4s).m_reason == no_placement::none);
+    CHECK(pool.place(request, start + 5s).m_reason ==
+          no_placement::no_upstream);
+}
+
+TEST_CASE(
+    "a request that has not begun is taken back before the weights expire")
+{
+    upstream_pool pool = make_pool();
+    pool.take_list(make_engines(2), start);
+    pool.note_weights({upstream_id("e1"), 5, model, 2}, start);
+    pool.set_newest(model, 2, start);
+    CHECK_FALSE(pool.must_recall(upstream_id("e0"), model, start + 7s));
+    CHECK(pool.must_recall(upstream_id("e0"), model, start + 7900ms));
+    CHECK_FALSE(pool.must_recall(upstream_id("e1"), model, start + 7900ms));
+}
+
+TEST_CASE("the time limits of old weights follow the setting")
+{
+    upstream_pool_options options;
+    options.m_max_weights_age = 10s;
+    upstream_pool pool(options, [] { return std::uint64_t{7}; });
+    pool.take_list({make_engine(0, 1)}, start);
+    pool.set_newest(model, 2, start);
+    CHECK(pool.place(make_request(), start + 8900ms).m_reason ==
+          no_placement::none);
+    CHECK(pool.place(make_request(), start + 9100ms).m_reason ==
+          no_placement::no_upstream);
+}
+
 TEST_CASE("engines with the newest weights are preferred after a delay")
 {
     upstream_pool pool = make_pool();
