Fix: [Entry] an answer of another kind was joined to a stream that had begun

What callers saw: a stream broke off, and the next upstream answered 200 with another media type, 204 or 206. The text of that answer came in the middle of the stream, and the stream ended as if it were complete. After a 3xx or 4xx answer the stream was cut although a third upstream could have continued it.

Cause: every sealed 2xx answer was taken as the rest of the stream; every other answer was read to its end and then ended the request.

Change: an answer continues a stream only with the status and the media type of the header that the caller has. Any other one counts as a failed attempt: the stream goes on at another upstream where the route permits it and is otherwise cut without its last chunk.

--- a/src/entry/request_attempt.cpp
+++ b/src/entry/request_attempt.cpp
@@ -7,6 +7,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cctype>
 
 namespace daisylead::entry
 {
@@ -50,6 +51,21 @@
  *  fetch costs at least about a millisecond. */
 constexpr std::int64_t min_fetch_tokens = 256;
 
+/** @return media type of an answer without its parameters. */
+std::string media_type(http::fields const& fields)
+{
+    auto const value = fields[http::field::content_type];
+    std::string type(value.substr(0, value.find(';')));
+    while (!type.empty() && type.back() == ' ')
+    {
+        type.pop_back();
+    }
+    std::transform(type.begin(), type.end(), type.begin(),
+                   [](unsigned char c)
+                   { return static_cast<char>(std::tolower(c)); });
+    return type;
+}
+
 } // namespace
 
 std::string request_runner::cache_scope(std::int64_t weights) const
@@ -331,6 +347,15 @@
                 outcome_label = "not_genuine";
                 result = after_failure(true, "answer_not_genuine");
             }
+            else if (m_stream_begun && !continues_stream(*m_upstream))
+            {
+                // It is no sign of a crash, nor that the prompt can be
+                // processed.
+                m_upstream->abort();
+                outcome = attempt_outcome::cancelled;
+                outcome_label = "not_resumed";
+                result = after_failure(true, "not_resumed");
+            }
             else if (success && m_route.m_streaming)
             {
                 result = co_await answer_stream(*m_upstream);
@@ -411,13 +436,6 @@
             ? after_timeout()
             : after_failure(true, "answer_incomplete");
     }
-    if (m_stream_begun)
-    {
-        m_pool.put(m_upstream);
-        m_refusal = refusal{502, "not_resumed", "the stream cannot go on",
-                            std::nullopt};
-        co_return next_action::refuse;
-    }
     m_pool.put(m_upstream);
     m_status = answer.m_status;
     m_end_reason = "answered";
@@ -432,6 +450,12 @@
     co_return next_action::done;
 }
 
+bool request_runner::continues_stream(http_connection const& upstream) const
+{
+    return upstream.status() == m_status &&
+           media_type(upstream.header()) == m_stream_type;
+}
+
 awaitable<request_runner::next_action>
 request_runner::answer_stream(http_connection& upstream)
 {
@@ -476,6 +500,7 @@
         if ((!whole.empty() || ended) && !m_stream_begun)
         {
             m_status = status;
+            m_stream_type = media_type(fields);
             m_stream_begun = true;
             m_state.m_metrics.observe("daisylead_first_event_seconds",
                                       boot_time() - m_began);
--- a/src/entry/request_runner.hpp
+++ b/src/entry/request_runner.hpp
@@ -69,6 +69,9 @@
     awaitable<next_action> answer_whole(http_connection& upstream,
                                         answer_info const& info);
     awaitable<next_action> answer_stream(http_connection& upstream);
+    /** @return whether an answer has the status and media type of the stream
+     *          that the caller receives. */
+    bool continues_stream(http_connection const& upstream) const;
     next_action after_failure(bool ran, std::string const& code);
     next_action after_timeout();
     http::request<http::string_body>
@@ -115,6 +118,7 @@
         m_silence_watch; ///< of the current attempt
     serving::event_splitter m_splitter;
     bool m_stream_begun = false; ///< header was sent to the caller
+    std::string m_stream_type;   ///< media type in that header
     bool m_close_after = false;  ///< close the connection after this answer
     std::optional<refusal> m_refusal;
     int m_status = 0;
