Fix: [Entry] a copy of a request's own refusal answered its repeat at the same upstream

What callers would see: a repeatable request that an upstream had refused and then ran was sent once more, so that it ran twice; after the last attempt the caller would get 503, the promise that it had not run.

Cause: answers on a reused connection are told apart by the id of the request. When no other upstream is left, a refused request goes to the same upstream again, on the pooled connection of the refusal and with the same id. A second copy of the refusal then bears the right id. Class: an id that is the same for two attempts cannot tell their answers apart.

Ruled out: requests that may run only once always have a new connection; the test passed for them before the change.

Change: a repeat at an upstream that this request has tried uses a new connection. The id is the caller's and is forwarded as it is, so it cannot be made unique for each attempt.

Evidence: the test failed before for the repeatable route (requests 3 == 2, runs 2 == 1) and passes after the change. The 503 after the last attempt was not shown by a test.

--- a/src/entry/request_attempt.cpp
+++ b/src/entry/request_attempt.cpp
@@ -116,7 +116,7 @@
 {
     upstream_id const id = place.m_upstream.m_id;
     attempt_times times{boot_time(), {}, {}, {}};
-    m_tried.insert(id);
+    bool const is_repeat = !m_tried.insert(id).second;
     token_count const tokens = m_description.m_tokens.value_or(token_count());
     m_state.m_upstream_pool.note_sent(id, m_prefix, tokens);
     bool first_bytes = false;
@@ -126,8 +126,11 @@
         m_state.m_upstream_pool.note_ended(id, false, tokens);
         co_return after_timeout();
     }
-    m_upstream = co_await m_pool.get(place.m_upstream.m_address,
-                                     left_to_connect, !m_route.m_repeatable);
+    // A copy of the refusal of the former attempt bears the id of this one; it
+    // can only come on the connection of that attempt.
+    m_upstream =
+        co_await m_pool.get(place.m_upstream.m_address, left_to_connect,
+                            is_repeat || !m_route.m_repeatable);
     if (!m_upstream)
     {
         m_state.m_upstream_pool.note_ended(id, false, tokens);
--- /dev/null
+++ b/tests/entry/repeated_refusal_test.cpp
@@ -0,0 +1,111 @@
+/** @file Tests of refusals that an upstream sends more than once. */
+#include "stand_in.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <thread>
+
+using namespace daisylead;
+using namespace daisylead::entry_test;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+serving::catalog make_catalog()
+{
+    serving::catalog catalog = make_open_catalog(1000ms);
+    serving::route once = catalog.m_routes.front();
+    once.m_id = route_id("/once/");
+    once.m_prefix = "/once/";
+    once.m_repeatable = false;
+    once.m_max_upstreams = 1;
+    catalog.m_routes.push_back(once);
+    return catalog;
+}
+
+serving::upstream_record make_upstream(char const* id,
+                                       std::string const& address)
+{
+    serving::upstream_record record;
+    record.m_id = upstream_id(id);
+    record.m_service = service_id("s");
+    record.m_address = address;
+    record.m_zone = zone_id("a");
+    record.m_slots = 10;
+    record.m_started = 1;
+    return record;
+}
+
+std::string make_request(std::string const& path, std::string const& id)
+{
+    return "GET " + path + " HTTP/1.1\r\nHost: h\r\nId: " + id +
+           "\r\nContent-Length: 0\r\n\r\n";
+}
+
+std::string make_answer(std::string const& status, std::string const& fields,
+                        std::string const& body)
+{
+    return "HTTP/1.1 " + status + "\r\n" + fields +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string make_refusal(std::string const& id)
+{
+    return make_answer(
+        "503 Busy", (id.empty() ? "" : "Id: " + id + "\r\n") + "Not-Run: 1\r\n",
+        "");
+}
+
+std::string make_success(std::string const& id, std::string const& body)
+{
+    return make_answer("200 OK", "Id: " + id + "\r\nSeal: s\r\n", body);
+}
+
+bool starts_with(std::string const& text, std::string const& begin)
+{
+    return text.rfind(begin, 0) == 0;
+}
+
+} // namespace
+
+TEST_CASE("a repeat is not taken as refused by its own earlier refusal")
+{
+    // Guards against "not run" for a request that runs: the copy of a refusal
+    // has the id of the repeat, which goes to the same, only upstream.
+    for (std::string const path : {"/again/x", "/once/x"})
+    {
+        std::atomic<int> requests = 0;
+        std::atomic<int> runs = 0;
+        scripted_upstream upstream(
+            [&](served_connection& connection)
+            {
+                bool refused = false;
+                while (!connection.read_request().empty())
+                {
+                    if (++requests == 1)
+                    {
+                        connection.write(make_refusal("a1"));
+                        refused = true;
+                        continue;
+                    }
+                    ++runs;
+                    if (refused)
+                    {
+                        connection.write(make_refusal("a1"));
+                    }
+                    std::this_thread::sleep_for(20ms);
+                    connection.write(make_success("a1", "own"));
+                }
+            });
+        running_instance instance(make_catalog(),
+                                  {make_upstream("u1", upstream.address())});
+        std::string const answer = instance.exchange(make_request(path, "a1"));
+        INFO(path << ": " << answer);
+        CHECK(starts_with(answer, "HTTP/1.1 200"));
+        CHECK(requests == 2);
+        CHECK(runs == 1);
+        CHECK(upstream.connections() == 2);
+    }
+}
