Test: [Entry] copies of a former request's refusal on a reused connection

A copy that arrives while the connection is in the pool is seen before reuse, and the connection is dropped. One that arrives after the next request was written, with the former id or with none, is skipped. A request that may run only once gets a new connection after a refusal.

--- a/tests/entry/repeated_refusal_test.cpp
+++ b/tests/entry/repeated_refusal_test.cpp
@@ -109,3 +109,79 @@
         CHECK(upstream.connections() == 2);
     }
 }
+
+TEST_CASE("a copy of a former refusal does not answer the next request")
+{
+    // Guards against "not run" for a request that runs; the copy has the
+    // former id or none, and comes before or after the next request.
+    for (std::string const copy_id : {"a1", ""})
+    {
+        for (bool const early : {true, false})
+        {
+            std::atomic<int> runs = 0;
+            std::atomic<int> requests = 0;
+            scripted_upstream upstream(
+                [&](served_connection& connection)
+                {
+                    bool refused = false;
+                    while (!connection.read_request().empty())
+                    {
+                        if (++requests == 1)
+                        {
+                            connection.write(make_answer(
+                                "400 Bad", "Id: a1\r\nNot-Run: 1\r\n", ""));
+                            refused = true;
+                            if (early)
+                            {
+                                std::this_thread::sleep_for(30ms);
+                                connection.write(make_refusal(copy_id));
+                            }
+                            continue;
+                        }
+                        ++runs;
+                        if (refused && !early)
+                        {
+                            connection.write(make_refusal(copy_id));
+                        }
+                        connection.write(make_success("b2", "own"));
+                    }
+                });
+            running_instance instance(
+                make_catalog(), {make_upstream("u1", upstream.address())});
+            CHECK(starts_with(instance.exchange(make_request("/again/x", "a1")),
+                              "HTTP/1.1 400"));
+            std::string const answer =
+                instance.exchange(make_request("/again/y", "b2"));
+            INFO("copy id '" << copy_id << "', early " << early << ": "
+                             << answer);
+            CHECK(starts_with(answer, "HTTP/1.1 200"));
+            CHECK(runs == 1);
+            CHECK(upstream.connections() == (early ? 2 : 1));
+        }
+    }
+}
+
+TEST_CASE("a request that may run once uses no connection with a refusal")
+{
+    // Guards against a copy of a refusal that is read as the answer to a
+    // request that may run only once.
+    std::atomic<int> requests = 0;
+    scripted_upstream upstream(
+        [&](served_connection& connection)
+        {
+            while (!connection.read_request().empty())
+            {
+                connection.write(
+                    ++requests == 1
+                        ? make_answer("400 Bad", "Id: a1\r\nNot-Run: 1\r\n", "")
+                        : make_success("b2", "own"));
+            }
+        });
+    running_instance instance(make_catalog(),
+                              {make_upstream("u1", upstream.address())});
+    CHECK(starts_with(instance.exchange(make_request("/again/x", "a1")),
+                      "HTTP/1.1 400"));
+    CHECK(starts_with(instance.exchange(make_request("/once/y", "b2")),
+                      "HTTP/1.1 200"));
+    CHECK(upstream.connections() == 2);
+}
