Fix: [Entry] a refusal by a second upstream was passed on after a possible run

What callers saw: 408, 421, 429 or 503, the promise that the request has not run, for a repeatable request that may have run at its first upstream.

Cause: an answer with such a status but without the field for "not run" was passed on as any final answer is. Class: the promise of one attempt was taken for a promise of the whole request.

Change: after an earlier attempt that may have run, such an answer counts as a failed attempt; the caller gets 502 if no further attempt is permitted.

Evidence: the test failed before for each of the four statuses (the answer was passed on) and passes after the change.

--- a/src/entry/request_attempt.cpp
+++ b/src/entry/request_attempt.cpp
@@ -50,6 +50,12 @@
  *  fetch costs at least about a millisecond. */
 constexpr std::int64_t min_fetch_tokens = 256;
 
+/** @return whether a status promises a caller that its request has not run. */
+bool promises_not_run(int status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 } // namespace
 
 std::string request_runner::cache_scope(std::int64_t weights) const
@@ -338,6 +344,14 @@
             {
                 result = co_await answer_stream(*m_upstream);
             }
+            else if (m_possible_runs > 1 && promises_not_run(status))
+            {
+                // The promise covers this attempt only; an earlier one may have
+                // run.
+                m_upstream->abort();
+                outcome_label = "error_" + std::to_string(status);
+                result = after_failure(true, "upstream_error");
+            }
             else if (status >= 500 && m_route.m_repeatable &&
                      m_possible_runs < m_route.m_max_upstreams &&
                      after_failure(true, "upstream_error") ==
--- a/tests/entry/repeated_refusal_test.cpp
+++ b/tests/entry/repeated_refusal_test.cpp
@@ -185,3 +185,34 @@
                       "HTTP/1.1 200"));
     CHECK(upstream.connections() == 2);
 }
+
+TEST_CASE("a refusal after an attempt that may have run is no promise")
+{
+    // Guards against "not run" for a request that may have run at its first
+    // upstream, when the second one refuses without the field for it.
+    for (std::string const status : {"408 T", "421 M", "429 R", "503 B"})
+    {
+        std::atomic<int> requests = 0;
+        auto const run = [&](served_connection& connection)
+        {
+            if (connection.read_request().empty())
+            {
+                return;
+            }
+            if (++requests > 1)
+            {
+                connection.write(make_answer(status, "Id: a1\r\n", ""));
+            }
+        };
+        scripted_upstream first(run);
+        scripted_upstream second(run);
+        running_instance instance(make_catalog(),
+                                  {make_upstream("u1", first.address()),
+                                   make_upstream("u2", second.address())});
+        std::string const answer =
+            instance.exchange(make_request("/again/x", "a1"));
+        INFO(status << ": " << answer);
+        CHECK(requests == 2);
+        CHECK(starts_with(answer, "HTTP/1.1 502"));
+    }
+}
