Test: [Entry] an order's answer after a copy of a former call's answer

Rules out that an order counts as accepted by the answer to the call before it: orders use a new connection. The test covers a copy that arrives while the connection is in the pool. Other calls of http_caller on kept connections are not covered.

--- a/tests/entry/repeated_refusal_test.cpp
+++ b/tests/entry/repeated_refusal_test.cpp
@@ -1,10 +1,15 @@
 /** @file Tests of refusals that an upstream sends more than once. */
 #include "stand_in.hpp"
 
+#include <daisylead/entry/http_caller_base.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <catch2/catch.hpp>
 
 #include <atomic>
 #include <thread>
+#include <vector>
 
 using namespace daisylead;
 using namespace daisylead::entry_test;
@@ -216,3 +221,43 @@
         CHECK(starts_with(answer, "HTTP/1.1 502"));
     }
 }
+
+TEST_CASE("an order's answer is not a copy of a former call's answer")
+{
+    // Guards against an order that is taken as accepted by the answer to the
+    // call before it; these answers have no id.
+    scripted_upstream engine(
+        [](served_connection& connection)
+        {
+            if (connection.read_request().find("/order") != std::string::npos)
+            {
+                connection.write(make_answer("409 Busy", "", "{}"));
+                return;
+            }
+            connection.write(make_answer("200 OK", "", "{}"));
+            std::this_thread::sleep_for(20ms);
+            connection.write(make_answer("200 OK", "", "{}"));
+            connection.read_request();
+        });
+    boost::asio::io_context context;
+    entry::http_caller caller(context.get_executor());
+    std::vector<int> statuses;
+    boost::asio::co_spawn(
+        context,
+        [&]() -> boost::asio::awaitable<void>
+        {
+            for (bool const is_order : {false, true})
+            {
+                entry::http_call call;
+                call.m_address = engine.address();
+                call.m_target = is_order ? "/order" : "/report";
+                call.m_timeout = 500ms;
+                call.m_fresh = is_order;
+                auto const answer = co_await caller.call(call);
+                statuses.push_back(answer ? answer->m_status : 0);
+            }
+        },
+        boost::asio::detached);
+    context.run();
+    CHECK(statuses == std::vector<int>{200, 409});
+}
