--- a/src/entry/request_attempt.cpp
+++ b/src/entry/request_attempt.cpp
@@ -66,6 +66,12 @@
     return type;
 }
 
+/** @return whether a status promises a caller that its request has not run. */
+bool promises_not_run(int status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 } // namespace
 
 std::string request_runner::cache_scope(std::int64_t weights) const
@@ -132,7 +138,7 @@
 {
     upstream_id const id = place.m_upstream.m_id;
     attempt_times times{boot_time(), {}, {}, {}};
-    m_tried.insert(id);
+    bool const is_repeat = !m_tried.insert(id).second;
     token_count const tokens = m_description.m_tokens.value_or(token_count());
     m_state.m_upstream_pool.note_sent(id, m_prefix, tokens);
     bool first_bytes = false;
@@ -142,8 +148,11 @@
         m_state.m_upstream_pool.note_ended(id, false, tokens);
         co_return after_timeout();
     }
-    m_upstream = co_await m_pool.get(place.m_upstream.m_address,
-                                     left_to_connect, !m_route.m_repeatable);
+    // A copy of the refusal of the former attempt bears the id of this one; it
+    // can only come on the connection of that attempt.
+    m_upstream =
+        co_await m_pool.get(place.m_upstream.m_address, left_to_connect,
+                            is_repeat || !m_route.m_repeatable);
     if (!m_upstream)
     {
         m_state.m_upstream_pool.note_ended(id, false, tokens);
@@ -360,6 +369,14 @@
             {
                 result = co_await answer_stream(*m_upstream);
             }
+            else if (m_possible_runs > 1 && promises_not_run(status))
+            {
+                // The promise covers this attempt only; an earlier one may have
+                // run.
+                m_upstream->abort();
+                outcome_label = "error_" + std::to_string(status);
+                result = after_failure(true, "upstream_error");
+            }
             else if (status >= 500 && m_route.m_repeatable &&
                      m_possible_runs < m_route.m_max_upstreams &&
                      after_failure(true, "upstream_error") ==
