--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -254,3 +254,101 @@
     CHECK(parts.front().m_crashes == part.m_crashes);
     CHECK(parts.front().m_stored);
 }
+
+namespace
+{
+
+/** Deeper than a recursive copy can go on a stack of 8 MB. */
+constexpr std::size_t odd_depth = 200000;
+
+std::string make_deep(std::size_t depth)
+{
+    return std::string(depth, '[') + std::string(depth, ']');
+}
+
+/** @return the ids of a list with an odd row before a sound one */
+std::vector<serving::upstream_record>
+decode_beside(std::string const& key, std::string const& odd_value)
+{
+    json const rows = {
+        {"rows", json::array({make_row(key, odd_value),
+                              make_row("i-9", make_server().dump())})}};
+    return platform::decode_upstreams(rows.dump());
+}
+
+/** @return the text of a server's row with one field as given */
+std::string server_with(std::string const& name, std::string const& text)
+{
+    json server = make_server();
+    server[name] = "@";
+    std::string row = server.dump();
+    return row.replace(row.find("\"@\""), 3, text);
+}
+
+} // namespace
+
+TEST_CASE("a server's address that names no IP and port costs its row only")
+{
+    for (char const* address :
+         {"10.0.0.1:65536", "10.0.0.1:70000", "10.0.0.1:0",
+          "10.0.0.1:99999999999999999999", "10.0.0.1:-1",
+          "10.0.0.1:", "10.0.0.1", "10.0.0.256:80", "name:80", ":80",
+          "10.0.0.1:80\\r\\nA: b"})
+    {
+        INFO(address);
+        CHECK(
+            decode_beside(
+                "i-1", server_with("address", '"' + std::string(address) + '"'))
+                .size() == 1);
+    }
+    CHECK(decode_beside("i-1", server_with("address", R"("10.0.0.1:65535")"))
+              .size() == 2);
+}
+
+TEST_CASE("a server's number that arithmetic cannot bear costs its row only")
+{
+    for (char const* name : {"slots", "sequence", "born"})
+    {
+        for (char const* number :
+             {"18446744073709551616", "1e400", "1e30", "3.0", "-1e400"})
+        {
+            INFO(name << " " << number);
+            CHECK(decode_beside("i-1", server_with(name, number)).size() == 1);
+        }
+    }
+    for (char const* number :
+         {"9223372036854775807", "18446744073709551615", "0", "-1"})
+    {
+        INFO(number);
+        CHECK(decode_beside("i-1", server_with("slots", number)).size() == 1);
+    }
+    for (char const* number : {"9223372036854775807", "18446744073709551615",
+                               "-9223372036854775808"})
+    {
+        INFO(number);
+        CHECK(decode_beside("i-1", server_with("born", number)).size() == 1);
+    }
+    for (char const* number : {"9223372036854775807", "18446744073709551615",
+                               "1e30", "3.5", "true", "1e400"})
+    {
+        INFO(number);
+        CHECK(decode_beside(
+                  "i-1", server_with("models", R"([{"name":"m","version":)" +
+                                                   std::string(number) + "}]"))
+                  .size() == 1);
+    }
+}
+
+TEST_CASE("a server's row that is nested deeply costs its row only")
+{
+    std::string const deep = make_deep(odd_depth);
+    CHECK(decode_beside("i-1", deep).size() == 1);
+    CHECK(decode_beside("i-1", std::string(odd_depth, '[')).size() == 1);
+    for (char const* name : {"service", "address", "slots", "sequence", "born",
+                             "models", "coldRemainingMs"})
+    {
+        INFO(name);
+        CHECK(decode_beside("i-1", server_with(name, deep)).size() == 1);
+    }
+    CHECK(decode_beside("i-1", server_with("unknown", deep)).size() == 2);
+}
