--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -352,3 +352,24 @@
     }
     CHECK(decode_beside("i-1", server_with("unknown", deep)).size() == 2);
 }
+
+TEST_CASE("a row's version of another kind costs no more than its row")
+{
+    json const sound = make_row("i-9", make_server().dump());
+    std::string const row = R"({"key":"i-1","value":"?","rowVersion":)" +
+                            make_deep(odd_depth) + "}";
+    auto const list = platform::decode_upstreams(R"({"rows":[)" + row + "," +
+                                                 sound.dump() + "]}");
+    CHECK(list.size() == 1);
+}
+
+TEST_CASE("a blocked part's row that is no object leaves the others alone")
+{
+    // Guards against a handler that reads the row again and throws.
+    json const sound = make_row("00000000000000ff", R"({"crashes":[]})");
+    json const rows = {
+        {"rows", json::array({7, nullptr, json::array({1}), sound})}};
+    std::vector<request::blocked_part> parts;
+    REQUIRE_NOTHROW(parts = platform::decode_blocked_parts(rows.dump()));
+    CHECK(parts.size() == 1);
+}
