Fix: [Platform] one odd row beside the configuration rejected all of it

A row of weights that cannot be read, or a row without a key, made the whole configuration unreadable, so an instance no longer followed changes, or never got its first one. The configuration is one row that the store accepts as a whole, so a fault within it still rejects it and the one in force stays.

--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -373,3 +373,29 @@
     REQUIRE_NOTHROW(parts = platform::decode_blocked_parts(rows.dump()));
     CHECK(parts.size() == 1);
 }
+
+TEST_CASE("an odd row beside the configuration leaves the configuration alone")
+{
+    json const configuration = {
+        {"version", 7}, {"routes", json::array()}, {"services", json::array()}};
+    for (std::string const& value :
+         {std::string("?"), std::string("[]"), make_deep(odd_depth),
+          std::string(R"({"model":"n"})"),
+          std::string(R"({"model":"n","version":1e400})"),
+          std::string(R"({"model":"n","version":9223372036854775807})"),
+          std::string(R"({"model":"n","version":3.5})")})
+    {
+        INFO(value.substr(0, 60));
+        json const rows = {
+            {"rows", json::array({7,
+                                  {{"key", 3}},
+                                  make_row("version/n", value),
+                                  make_row("config", configuration.dump()),
+                                  make_row("version/m",
+                                           R"({"model":"m","version":4})")})}};
+        auto const catalog = platform::decode_rules(rows.dump());
+        REQUIRE(catalog);
+        REQUIRE(catalog->m_weights.size() == 1);
+        CHECK(catalog->m_weights[0].m_version == 4);
+    }
+}
