Fix: [Platform] a deeply nested list in the configuration ended the process

The lists of tenants and of an engine's models were copied before they were read. Copying a JSON value recurses, so a list nested 200,000 levels deep overflowed the stack. Parsing and destroying such a value does not recurse.

--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -399,3 +399,17 @@
         CHECK(catalog->m_weights[0].m_version == 4);
     }
 }
+
+TEST_CASE("a deeply nested part of the configuration does not end the process")
+{
+    std::string const deep = make_deep(odd_depth);
+    for (std::string const& part :
+         {R"("tenants":)" + deep,
+          R"("services":[{"name":"s","engine":{"models":)" + deep + "}}]"})
+    {
+        std::string const value =
+            R"({"version":7,"routes":[],"services":[],)" + part + "}";
+        json const rows = {{"rows", json::array({make_row("config", value)})}};
+        CHECK_FALSE(platform::decode_rules(rows.dump()));
+    }
+}
