--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -254,3 +254,162 @@
     CHECK(parts.front().m_crashes == part.m_crashes);
     CHECK(parts.front().m_stored);
 }
+
+namespace
+{
+
+/** Deeper than a recursive copy can go on a stack of 8 MB. */
+constexpr std::size_t odd_depth = 200000;
+
+std::string make_deep(std::size_t depth)
+{
+    return std::string(depth, '[') + std::string(depth, ']');
+}
+
+/** @return the ids of a list with an odd row before a sound one */
+std::vector<serving::upstream_record>
+decode_beside(std::string const& key, std::string const& odd_value)
+{
+    json const rows = {
+        {"rows", json::array({make_row(key, odd_value),
+                              make_row("i-9", make_server().dump())})}};
+    return platform::decode_upstreams(rows.dump());
+}
+
+/** @return the text of a server's row with one field as given */
+std::string server_with(std::string const& name, std::string const& text)
+{
+    json server = make_server();
+    server[name] = "@";
+    std::string row = server.dump();
+    return row.replace(row.find("\"@\""), 3, text);
+}
+
+} // namespace
+
+TEST_CASE("a server's address that names no IP and port costs its row only")
+{
+    for (char const* address :
+         {"10.0.0.1:65536", "10.0.0.1:70000", "10.0.0.1:0",
+          "10.0.0.1:99999999999999999999", "10.0.0.1:-1",
+          "10.0.0.1:", "10.0.0.1", "10.0.0.256:80", "name:80", ":80",
+          "10.0.0.1:80\\r\\nA: b"})
+    {
+        INFO(address);
+        CHECK(
+            decode_beside(
+                "i-1", server_with("address", '"' + std::string(address) + '"'))
+                .size() == 1);
+    }
+    CHECK(decode_beside("i-1", server_with("address", R"("10.0.0.1:65535")"))
+              .size() == 2);
+}
+
+TEST_CASE("a server's number that arithmetic cannot bear costs its row only")
+{
+    for (char const* name : {"slots", "sequence", "born"})
+    {
+        for (char const* number :
+             {"18446744073709551616", "1e400", "1e30", "3.0", "-1e400"})
+        {
+            INFO(name << " " << number);
+            CHECK(decode_beside("i-1", server_with(name, number)).size() == 1);
+        }
+    }
+    for (char const* number :
+         {"9223372036854775807", "18446744073709551615", "0", "-1"})
+    {
+        INFO(number);
+        CHECK(decode_beside("i-1", server_with("slots", number)).size() == 1);
+    }
+    for (char const* number : {"9223372036854775807", "18446744073709551615",
+                               "-9223372036854775808"})
+    {
+        INFO(number);
+        CHECK(decode_beside("i-1", server_with("born", number)).size() == 1);
+    }
+    for (char const* number : {"9223372036854775807", "18446744073709551615",
+                               "1e30", "3.5", "true", "1e400"})
+    {
+        INFO(number);
+        CHECK(decode_beside(
+                  "i-1", server_with("models", R"([{"name":"m","version":)" +
+                                                   std::string(number) + "}]"))
+                  .size() == 1);
+    }
+}
+
+TEST_CASE("a server's row that is nested deeply costs its row only")
+{
+    std::string const deep = make_deep(odd_depth);
+    CHECK(decode_beside("i-1", deep).size() == 1);
+    CHECK(decode_beside("i-1", std::string(odd_depth, '[')).size() == 1);
+    for (char const* name : {"service", "address", "slots", "sequence", "born",
+                             "models", "coldRemainingMs"})
+    {
+        INFO(name);
+        CHECK(decode_beside("i-1", server_with(name, deep)).size() == 1);
+    }
+    CHECK(decode_beside("i-1", server_with("unknown", deep)).size() == 2);
+}
+
+TEST_CASE("a row's version of another kind costs no more than its row")
+{
+    json const sound = make_row("i-9", make_server().dump());
+    std::string const row = R"({"key":"i-1","value":"?","rowVersion":)" +
+                            make_deep(odd_depth) + "}";
+    auto const list = platform::decode_upstreams(R"({"rows":[)" + row + "," +
+                                                 sound.dump() + "]}");
+    CHECK(list.size() == 1);
+}
+
+TEST_CASE("a blocked part's row that is no object leaves the others alone")
+{
+    // Guards against a handler that reads the row again and throws.
+    json const sound = make_row("00000000000000ff", R"({"crashes":[]})");
+    json const rows = {
+        {"rows", json::array({7, nullptr, json::array({1}), sound})}};
+    std::vector<request::blocked_part> parts;
+    REQUIRE_NOTHROW(parts = platform::decode_blocked_parts(rows.dump()));
+    CHECK(parts.size() == 1);
+}
+
+TEST_CASE("an odd row beside the configuration leaves the configuration alone")
+{
+    json const configuration = {
+        {"version", 7}, {"routes", json::array()}, {"services", json::array()}};
+    for (std::string const& value :
+         {std::string("?"), std::string("[]"), make_deep(odd_depth),
+          std::string(R"({"model":"n"})"),
+          std::string(R"({"model":"n","version":1e400})"),
+          std::string(R"({"model":"n","version":9223372036854775807})"),
+          std::string(R"({"model":"n","version":3.5})")})
+    {
+        INFO(value.substr(0, 60));
+        json const rows = {
+            {"rows", json::array({7,
+                                  {{"key", 3}},
+                                  make_row("version/n", value),
+                                  make_row("config", configuration.dump()),
+                                  make_row("version/m",
+                                           R"({"model":"m","version":4})")})}};
+        auto const catalog = platform::decode_rules(rows.dump());
+        REQUIRE(catalog);
+        REQUIRE(catalog->m_weights.size() == 1);
+        CHECK(catalog->m_weights[0].m_version == 4);
+    }
+}
+
+TEST_CASE("a deeply nested part of the configuration does not end the process")
+{
+    std::string const deep = make_deep(odd_depth);
+    for (std::string const& part :
+         {R"("tenants":)" + deep,
+          R"("services":[{"name":"s","engine":{"models":)" + deep + "}}]"})
+    {
+        std::string const value =
+            R"({"version":7,"routes":[],"services":[],)" + part + "}";
+        json const rows = {{"rows", json::array({make_row("config", value)})}};
+        CHECK_FALSE(platform::decode_rules(rows.dump()));
+    }
+}
