Fix: [Admission] a pause of 2 s without a start refused requests with time left

Callers saw 503 "overloaded" (the expected wait exceeds the deadline) with a deadline of 20 s, behind one long request on a busy engine.

Cause: without a start for 2 s, service_rate took the tokens started in the window over its length as an upper bound of the rate. One long request that is running starts nothing, so this was zero, the estimated wait became the maximum of an hour, and all requests but the first of each organisation were refused. This held with and without a measured rate. The process test holds two requests of 2 s of prefill, so a busy machine took it over the 2 s.

Not chosen (by reasoning, not tried): the cost of the waiting or of the last started request over the length of the pause as the bound, since a small request next to a long one gives a rate near zero again.

Change: the rate is only measured by starts. The pause is a term of its own: it is expected to last for as long again, and is added to the time for the tokens ahead at the last rate (without a rate, to the same time once more). A request with less time than that is still refused at once. The pause is now counted from the last start and no longer from the start of the window.

Tests: "requests with time left are kept while a long request is running" failed before, with and without a measured rate (estimated wait 3600 s, at most 10 s allowed; 6 of 44 assertions failed), and passes after. The failure of the process test itself was not reproduced.

--- a/include/daisylead/admission/admission_queue_base.hpp
+++ b/include/daisylead/admission/admission_queue_base.hpp
@@ -113,7 +113,7 @@
     std::optional<time_point> next_timer() const;
 
     /** @return estimated wait of a request that would be queued now; zero until
-     *          a service rate has been measured */
+     *          a service rate has been measured or a stall is seen */
     duration estimated_wait(organisation_id const& organisation, int priority,
                             time_point now) const;
 
--- a/src/admission/admission_queue.cpp
+++ b/src/admission/admission_queue.cpp
@@ -19,7 +19,7 @@
 /** Maximum number of requests of one organisation that pop() tries. More would
  *  make pop() slow when no request can be started. */
 constexpr std::size_t max_offered_per_flow = 8;
-/** Upper bound of an estimated wait, also used when the rate is near zero. */
+/** Upper bound of an estimated wait. */
 constexpr duration max_estimated_wait = std::chrono::hours(1);
 
 /** Place of a request in the queue, for removal by id. */
@@ -164,15 +164,12 @@
     /** @param own_ahead tokens of the same organisation that are served before
      *  @return estimated time until the work starts: own_ahead served at the
      *          organisation's share of the rate, but at most the time for all
-     *          queued tokens at the whole rate */
+     *          queued tokens at the whole rate. A stall is expected to go on
+     *          for as long as it has lasted: running work can be long, so a
+     *          lack of starts does not show that the rate is zero. */
     duration estimate_wait(std::int64_t own_ahead, int weight,
                            std::int64_t total_weight, time_point now) const
     {
-        std::optional<double> const rate = m_rate.per_second(now);
-        if (!rate)
-        {
-            return duration();
-        }
         double const at_share = static_cast<double>(own_ahead) *
                                 static_cast<double>(total_weight) / weight;
         double const ahead = std::min(at_share, static_cast<double>(m_tokens));
@@ -180,14 +177,22 @@
         {
             return duration();
         }
+        duration const stall = m_rate.stall(now);
+        std::optional<double> const rate = m_rate.per_second();
+        if (!rate)
+        {
+            // The work ahead is taken to be as long as the running work.
+            return std::min(2 * stall, max_estimated_wait);
+        }
         double const longest =
             std::chrono::duration<double>(max_estimated_wait).count();
         if (ahead >= *rate * longest)
         {
             return max_estimated_wait;
         }
-        return std::chrono::duration_cast<duration>(
+        auto const service = std::chrono::duration_cast<duration>(
             std::chrono::duration<double>(ahead / *rate));
+        return std::min(stall + service, max_estimated_wait);
     }
 
     duration estimate_request_wait(organisation_id const& organisation,
--- a/src/admission/service_rate.cpp
+++ b/src/admission/service_rate.cpp
@@ -13,9 +13,8 @@
 /** Starts come in bursts when an upstream reports free capacity. A window has
  * to cover several bursts. */
 constexpr duration measurement_window = std::chrono::milliseconds(500);
-/** Time without a complete window after which the rate is taken to be falling.
- *  Shorter pauses occur when the few waiting requests need the same busy
- *  engine. */
+/** Shorter pauses between starts occur when the few waiting requests need the
+ *  same busy engine. */
 constexpr duration stall_timeout = std::chrono::seconds(2);
 /** Weight of one window in the moving average. */
 constexpr double smoothing_factor = 0.3;
@@ -34,6 +33,7 @@
     {
         return;
     }
+    m_last_start = now;
     m_window_tokens += static_cast<double>(cost.value());
     duration const length = now - *m_window_start;
     if (length >= measurement_window)
@@ -56,6 +56,7 @@
     {
         m_window_start = now;
         m_window_tokens = 0;
+        m_last_start = now;
     }
 }
 
@@ -65,14 +66,13 @@
     m_window_tokens = 0;
 }
 
-std::optional<double> service_rate::per_second(time_point now) const
+duration service_rate::stall(time_point now) const
 {
-    if (!m_window_start || now - *m_window_start < stall_timeout)
+    if (!m_window_start || now - m_last_start < stall_timeout)
     {
-        return m_rate;
+        return duration();
     }
-    double const measured = m_window_tokens / seconds(now - *m_window_start);
-    return m_rate ? std::min(*m_rate, measured) : measured;
+    return now - m_last_start;
 }
 
 } // namespace daisylead::admission
--- a/src/admission/service_rate.hpp
+++ b/src/admission/service_rate.hpp
@@ -23,13 +23,21 @@
     /** Ends the window because the queue became empty. */
     void note_empty();
 
-    /** @return tokens per second; none until measured. After a stall the
-     * estimate decreases as the window gets longer. */
-    std::optional<double> per_second(time_point now) const;
+    /** @return tokens per second while requests were started; none until
+     *  measured */
+    std::optional<double> per_second() const
+    {
+        return m_rate;
+    }
+
+    /** @return how long requests have waited without any start; zero for
+     *          pauses that are usual */
+    duration stall(time_point now) const;
 
 private:
     std::optional<double> m_rate;
     std::optional<time_point> m_window_start;
+    time_point m_last_start; ///< or start of the first window after idle time
     double m_window_tokens = 0;
 };
 
--- a/tests/admission/admission_queue_test.cpp
+++ b/tests/admission/admission_queue_test.cpp
@@ -185,6 +185,42 @@
     CHECK(at < start + 9s);
 }
 
+TEST_CASE("requests with time left are kept while a long request is running")
+{
+    // Guards against an estimated wait of an hour because no request started
+    // for a few seconds.
+    bool const measured = GENERATE(false, true);
+    admission_queue queue(small(1000));
+    time_point now = start;
+    if (measured)
+    {
+        now = measure_rate(queue);
+        CHECK_FALSE(pop(queue, now).empty());
+    }
+    queue.push(request("running", "a", 5, 32000), now);
+    CHECK(pop(queue, now) == "running");
+    queue.push(request("next", "a", 5, 32000), now);
+    now += 3s;
+    duration const patience = now - start + 20s;
+    CHECK(queue.push(request("last", "a", 5, 100, patience), now).empty());
+    CHECK(queue.estimated_wait(organisation_id("a"), 5, now) < 10s);
+    now += 2s;
+    CHECK(queue.expire(now).empty());
+    CHECK(pop(queue, now) == "next");
+    CHECK(pop(queue, now) == "last");
+}
+
+TEST_CASE("a request with less time than a stall has lasted is refused at once")
+{
+    admission_queue queue(small(1000));
+    queue.push(request("next", "a"), start);
+    time_point const now = start + 5s;
+    auto const refused = queue.push(request("last", "a", 5, 100, 8s), now);
+    REQUIRE(refused.size() == 1);
+    CHECK(refused[0].m_id == request_id("last"));
+    CHECK(refused[0].m_reason == refusal_reason::wait_exceeds_deadline);
+}
+
 TEST_CASE("a full queue refuses a request of the organisation with most tokens")
 {
     admission_queue queue(small(4));
