Test: [Serving] an engine with an accepted older order waits for max_load_time (failing)

If a newer version is named between an order and its answer, the planner takes the accepted order for one to load the newer version. Fails on this commit: no action within 2 s.

--- a/tests/serving/rollout_planner_test.cpp
+++ b/tests/serving/rollout_planner_test.cpp
@@ -224,3 +224,30 @@
     // As many as may load at once, so that the rollout makes progress.
     CHECK(taken_out(engines).size() == 3);
 }
+
+TEST_CASE(
+    "an engine that accepted an order just after a newer version was named "
+    "is ordered again at once")
+{
+    // Guards against an accepted order that is taken for one to load the newer
+    // version, so that its engine counts as loading until max_load_time.
+    rollout_planner planner({});
+    upstream_id const id("e0");
+    planner.set_target(2);
+    REQUIRE(planner.plan({{id, 1, 1, 0, 0ms}}, start).back().m_step ==
+            rollout_step::order);
+    planner.set_target(3);
+    planner.plan({{id, 1, 1, 0, 50ms}}, start + 50ms);
+    planner.note_accepted(id, start + 100ms);
+    // The load of version 2 has ended.
+    std::vector<rollout_action> actions;
+    time_point now = start + 1s;
+    for (; now < start + 3s; now += 50ms)
+    {
+        auto const taken = planner.plan({{id, 1, 2, 0, now - start}}, now);
+        actions.insert(actions.end(), taken.begin(), taken.end());
+    }
+    REQUIRE_FALSE(actions.empty());
+    CHECK(actions.back().m_step == rollout_step::order);
+    CHECK(actions.back().m_version == 3);
+}
