Fix: [Serving] an engine that loaded an older version was not ordered again for 8 s

What callers saw: engines stay on old weights although their load has ended and a newer version is named; requests go elsewhere or begin on old weights.

Cause: note_accepted() and note_late_load() took the target for the ordered version. If a newer version was named between the order and its answer, or between a check and its report, the load of the ordered version never counted as its end, and the engine counted as loading until max_load_time.

Change: both state the version of the task. The test of this matter failed (no action within 2 s) and passes; serving_test passes.

--- a/include/daisylead/serving/rollout_planner_base.hpp
+++ b/include/daisylead/serving/rollout_planner_base.hpp
@@ -121,11 +121,16 @@
     std::vector<rollout_action> plan(std::vector<rollout_engine> const& engines,
                                      time_point now);
 
-    /** Records that the engine has accepted the order just sent. */
-    void note_accepted(upstream_id const& engine, time_point now);
-
-    /** Records that the engine loads, though no answer said so. */
-    void note_late_load(upstream_id const& engine, time_point now);
+    /** Records that the engine has accepted the order just sent.
+     *  @param version ordered; older than the target if a newer one was
+     *         published meanwhile */
+    void note_accepted(upstream_id const& engine, std::int64_t version,
+                       time_point now);
+
+    /** Records that the engine loads, though no answer said so.
+     *  @param version at which the load counts as ended */
+    void note_late_load(upstream_id const& engine, std::int64_t version,
+                        time_point now);
 
     /** Records an order without an answer. The engine is back in service.
      *  @param started start of the engine's run, Unix ms
--- a/src/entry/rollout_controller.cpp
+++ b/src/entry/rollout_controller.cpp
@@ -362,7 +362,7 @@
     }
     if (report->m_busy)
     {
-        planner.note_late_load(task.m_engine.m_id, boot_time());
+        planner.note_late_load(task.m_engine.m_id, task.m_version, boot_time());
         publish_state(task, true);
         co_await wait_for_load(task);
         co_return;
@@ -381,7 +381,7 @@
     switch (co_await send_order(task, *token, report->m_accepted_orders))
     {
     case order_outcome::accepted:
-        planner.note_accepted(task.m_engine.m_id, boot_time());
+        planner.note_accepted(task.m_engine.m_id, task.m_version, boot_time());
         publish_state(task, true);
         co_await pause(m_executor, min_load_time);
         co_await wait_for_load(task);
--- a/src/serving/rollout_planner.cpp
+++ b/src/serving/rollout_planner.cpp
@@ -387,15 +387,17 @@
     return share_of(reachable, m_options.m_out_of_service_share);
 }
 
-void rollout_planner::note_accepted(upstream_id const& engine, time_point now)
+void rollout_planner::note_accepted(upstream_id const& engine,
+                                    std::int64_t version, time_point now)
 {
     note_answer(true, now);
-    m_rollouts[engine] = {phase::loading, m_target, now};
+    m_rollouts[engine] = {phase::loading, version, now};
 }
 
-void rollout_planner::note_late_load(upstream_id const& engine, time_point now)
+void rollout_planner::note_late_load(upstream_id const& engine,
+                                     std::int64_t version, time_point now)
 {
-    m_rollouts[engine] = {phase::loading, m_target, now, false, true};
+    m_rollouts[engine] = {phase::loading, version, now, false, true};
 }
 
 void rollout_planner::note_unanswered(upstream_id const& engine,
--- a/tests/serving/late_orders_simulation_test.cpp
+++ b/tests/serving/late_orders_simulation_test.cpp
@@ -170,7 +170,7 @@
     {
         if (item.m_loading != 0)
         {
-            m_planner.note_late_load(id, m_now);
+            m_planner.note_late_load(id, action.m_version, m_now);
             return;
         }
         if (action.m_step == rollout_step::check)
@@ -192,7 +192,7 @@
             return;
         }
         accept(item, action.m_version);
-        m_planner.note_accepted(id, m_now);
+        m_planner.note_accepted(id, action.m_version, m_now);
     }
 
     duration outdated_for(std::int64_t version) const
--- a/tests/serving/rollout_planner_test.cpp
+++ b/tests/serving/rollout_planner_test.cpp
@@ -238,7 +238,7 @@
             rollout_step::order);
     planner.set_target(3);
     planner.plan({{id, 1, 1, 0, 50ms}}, start + 50ms);
-    planner.note_accepted(id, start + 100ms);
+    planner.note_accepted(id, 2, start + 100ms);
     // The load of version 2 has ended.
     std::vector<rollout_action> actions;
     time_point now = start + 1s;
