Test: [Serving] an engine that has gone back to older weights is never ordered again (failing)

An engine may start again under its id with its count of accepted orders at 0, and then carry out an unanswered order for an older version that expects 0. take_list() and note_weights() only ever raise the version of a run, so the newer one stays on record whatever the list and the responses say: requests expect it and are rejected, and no order follows. Fails on this commit: version 3 on record after 10 s of lists that say 2.

--- a/tests/serving/upstream_pool_test.cpp
+++ b/tests/serving/upstream_pool_test.cpp
@@ -414,3 +414,25 @@
     CHECK(is_used(3));
     CHECK_FALSE(is_used(9));
 }
+
+TEST_CASE("an engine that has gone back to older weights is known to have them")
+{
+    // Guards against an engine that carries out an older order after a restart
+    // under its id: with the newer version on record, it would reject all
+    // requests and never be ordered again.
+    upstream_pool pool = make_pool();
+    std::vector<upstream_record> list = make_engines(1, 3);
+    pool.set_newest(model, 3, start);
+    pool.take_list(list, start);
+    REQUIRE_FALSE(pool.has_older_weights(model, 3));
+    list[0].m_started = 6; // the restart; a report or a response says so, too
+    pool.take_list(list, start + 1s);
+    pool.note_weights({list[0].m_id, 6, model, 3, false}, start + 1s);
+    list[0].m_weights[model] = 2;
+    for (auto now = start + 2s; now <= start + 12s; now += 500ms)
+    {
+        pool.take_list(list, now);
+    }
+    CHECK(pool.has_older_weights(model, 3));
+    CHECK(pool.find(list[0].m_id)->m_weights.at(model) == 2);
+}
