Test: [Entry] a request that may run only once is ended when the weights of its engine expire (failing)

silence_detector::check() takes every attempt without bytes of an answer for one that has not begun, also one that may run only once and that was sent before the newer weights were named; its caller gets 502 weights_outdated after 7.8 s where the engine would have answered after 8.5 s. The margin of 3.5 s for such requests is there because they cannot be taken back. Fails on this commit.

--- a/tests/entry/outdated_weights_test.cpp
+++ b/tests/entry/outdated_weights_test.cpp
@@ -192,3 +192,40 @@
     CHECK(answer.rfind("HTTP/1.1 200", 0) == 0);
     CHECK(closed);
 }
+
+TEST_CASE("a request that may run only once is not ended because newer weights "
+          "were named while it ran")
+{
+    // Guards against a long answer whose first bytes come at its end being
+    // taken for a request that has not begun.
+    scripted_upstream engine(
+        [](served_connection& connection)
+        {
+            if (!connection.read_request().empty())
+            {
+                std::this_thread::sleep_for(8500ms);
+                connection.write("HTTP/1.1 200 OK\r\nId: a1\r\nSeal: s\r\n"
+                                 "Content-Length: 2\r\n\r\nok");
+            }
+        });
+    serving::catalog catalog = make_catalog();
+    catalog.m_weights = {{model, old_version}};
+    catalog.m_routes.front().m_repeatable = false;
+    catalog.m_routes.front().m_timeout = 15s;
+    running_instance instance(
+        catalog, {make_engine("e1", engine.address(), old_version)});
+    std::string answer;
+    std::thread caller(
+        [&]
+        {
+            answer = instance.exchange(
+                "GET /prompt/x HTTP/1.1\r\nHost: h\r\nId: a1\r\nModel: m\r\n"
+                "Connection: close\r\n\r\n",
+                12s);
+        });
+    std::this_thread::sleep_for(100ms);
+    catalog.m_weights = {{model, new_version}};
+    instance.set_rules(2, catalog);
+    caller.join();
+    CHECK(answer.substr(0, 12) == "HTTP/1.1 200");
+}
