Test: [Serving] an engine is ordered in service for good after an unanswered order (failing)

The entry of an engine in m_unanswered stays after its orders have expired, or after one that was refused, until its weights change. drain() passes over such an engine, so it is ordered with its requests in flight although orders are answered again. Fails on this commit: one action (order) where drain and order are due, 13 s after the only unanswered order.

--- a/tests/serving/rollout_planner_test.cpp
+++ b/tests/serving/rollout_planner_test.cpp
@@ -251,3 +251,19 @@
     CHECK(actions.back().m_step == rollout_step::order);
     CHECK(actions.back().m_version == 3);
 }
+
+TEST_CASE("an engine is drained before its order again once its unanswered "
+          "orders can no longer be carried out")
+{
+    // Guards against engines that are ordered in service for good after a time
+    // in which orders were not answered.
+    rollout_planner planner({});
+    upstream_id const id("e0");
+    planner.set_target(2);
+    planner.plan({{id, 1, 1, 7, 0ms}}, start);
+    planner.note_unanswered(id, 1, 1, start + 250ms);
+    auto const actions = planner.plan({{id, 1, 1, 7, 0ms}}, start + 13s);
+    REQUIRE(actions.size() == 2);
+    CHECK(actions.front().m_step == rollout_step::drain);
+    CHECK(actions.back().m_step == rollout_step::order);
+}
