Fix: [Serving] an engine was ordered in service for good after an unanswered order

What callers saw: requests wait at an engine, or are rejected by it, while it finishes others before a load, although orders are answered again.

Cause: an entry of m_unanswered without orders that may still be carried out was kept until the weights of its engine changed, and drain() passes over engines with an entry.

Change: while orders are answered, entries without outstanding orders are dropped.

--- a/src/serving/rollout_planner.cpp
+++ b/src/serving/rollout_planner.cpp
@@ -161,6 +161,12 @@
         std::erase_if(orders.m_sent_at, [this, now](time_point sent_at)
                       { return now - sent_at > m_options.m_max_order_delay; });
     }
+    if (!are_orders_unanswered(now))
+    {
+        // Orders are answered again, so these engines are drained first.
+        std::erase_if(m_unanswered, [](auto const& entry)
+                      { return entry.second.m_sent_at.empty(); });
+    }
 }
 
 rollout_planner::usage
