Fix: [Entry] a whole answer that may come only once was given up when weights expired

What callers saw: 502 weights_outdated after 7.8 s where the engine would have answered after 8.5 s a request that it had begun long before.

Cause: an attempt without bytes of an answer was taken for one that has not begun. That holds for streams, which begin with their first bytes, not for answers that come as a whole.

Change: such an attempt is ended only if the route streams or the request may be sent to another engine.

--- a/src/entry/request_attempt.cpp
+++ b/src/entry/request_attempt.cpp
@@ -133,6 +133,14 @@
     return copy;
 }
 
+/** @return whether an attempt without bytes of an answer may be taken for one
+ *          that has not begun: a stream begins with its first bytes, and what
+ *          may be repeated is sent to another engine. */
+bool request_runner::shows_begin() const
+{
+    return m_route.m_prompted && (m_route.m_streaming || m_route.m_repeatable);
+}
+
 awaitable<request_runner::next_action>
 request_runner::attempt(serving::placement const& place)
 {
@@ -211,16 +219,15 @@
 
     m_silence_watch.emplace(
         m_silence_detector,
-        watched_attempt{.m_upstream = id,
-                        .m_address = place.m_upstream.m_address,
-                        .m_request = m_description.m_id,
-                        .m_capacity = upstream_capacity(),
-                        .m_target = m_route.m_target_latency,
-                        .m_repeatable = m_route.m_repeatable,
-                        .m_abort = [connection = m_upstream]
-                        { connection->abort(); },
-                        .m_model = m_route.m_prompted ? m_description.m_model
-                                                      : model_id()});
+        watched_attempt{
+            .m_upstream = id,
+            .m_address = place.m_upstream.m_address,
+            .m_request = m_description.m_id,
+            .m_capacity = upstream_capacity(),
+            .m_target = m_route.m_target_latency,
+            .m_repeatable = m_route.m_repeatable,
+            .m_abort = [connection = m_upstream] { connection->abort(); },
+            .m_model = shows_begin() ? m_description.m_model : model_id()});
 
     answer_info info;
     io_result read_result = io_result::ok;
--- a/src/entry/request_runner.hpp
+++ b/src/entry/request_runner.hpp
@@ -72,6 +72,7 @@
     /** @return whether an answer has the status and media type of the stream
      *          that the caller receives. */
     bool continues_stream(http_connection const& upstream) const;
+    bool shows_begin() const;
     next_action after_failure(bool ran, std::string const& code);
     next_action after_timeout();
     http::request<http::string_body>
