Fix: [Entry] a resumed stream repeated events or ended without the cut event

What callers saw: after a stream broke off in the middle of an event, the next upstream began again at the first id (events came twice), or ended without any event (the stream ended as if it were complete).

Cause: the ids of a continuation and the loss of a cut event were not checked.

Change: a continuation must begin after the last id and must not end before an event has come in place of the cut one; otherwise the attempt has failed.

Evidence: the variants "no event", "from the first id" and "same id" failed before and pass.

--- a/include/daisylead/serving/event_splitter_base.hpp
+++ b/include/daisylead/serving/event_splitter_base.hpp
@@ -16,10 +16,27 @@
      *  @return bytes of the events that are complete now */
     std::string take(std::string_view bytes);
 
-    /** Discards the buffered incomplete event. */
+    /** The stream goes on with the bytes of another upstream. Discards the
+     *  buffered incomplete event. */
     void drop_partial()
     {
+        m_cut_event = m_cut_event || has_partial();
         m_partial.clear();
+        m_resumes_after = m_last_id;
+    }
+
+    /** @return whether an event that was cut has not come again, so that the
+     *          stream cannot be complete. */
+    bool lacks_event() const
+    {
+        return m_cut_event;
+    }
+
+    /** @return whether the bytes of another upstream began with an event that
+     *          is not after the last one; take() outputs nothing more. */
+    bool is_out_of_order() const
+    {
+        return m_out_of_order;
     }
 
     /** @return whether an incomplete event is buffered. */
@@ -43,6 +60,9 @@
 private:
     std::string m_partial;
     std::string m_last_id;
+    std::string m_resumes_after; ///< id before the next event; empty: any
+    bool m_cut_event = false;
+    bool m_out_of_order = false;
 };
 
 } // namespace daisylead::serving
--- a/src/entry/request_attempt.cpp
+++ b/src/entry/request_attempt.cpp
@@ -487,6 +487,16 @@
         }
         std::string const whole =
             ended ? m_splitter.partial() : m_splitter.take(bytes);
+        if (m_splitter.is_out_of_order())
+        {
+            upstream.abort();
+            co_return after_failure(true, "events_out_of_order");
+        }
+        if (ended && m_splitter.lacks_event() && !m_splitter.has_partial())
+        {
+            upstream.abort();
+            co_return after_failure(true, "stream_cut");
+        }
         // Bytes that do not complete an event are not progress.
         if (!whole.empty())
         {
--- a/src/serving/event_splitter.cpp
+++ b/src/serving/event_splitter.cpp
@@ -1,6 +1,10 @@
 /** @file Splits a byte stream into complete server-sent events. */
 #include <daisylead/serving/event_splitter_base.hpp>
 
+#include <charconv>
+#include <cstdint>
+#include <optional>
+
 namespace daisylead::serving
 {
 
@@ -53,11 +57,32 @@
     return id;
 }
 
+/** @return whether an id may follow another one; ids that are not numbers only
+ *          have to differ. */
+bool is_after(std::string const& id, std::string const& previous)
+{
+    auto const number_of =
+        [](std::string const& text) -> std::optional<std::uint64_t>
+    {
+        std::uint64_t number = 0;
+        char const* const end = text.data() + text.size();
+        auto const parsed = std::from_chars(text.data(), end, number);
+        return parsed.ec == std::errc() && parsed.ptr == end
+                   ? std::optional(number)
+                   : std::nullopt;
+    };
+    auto const number = number_of(id);
+    auto const previous_number = number_of(previous);
+    return number && previous_number ? *number > *previous_number
+                                     : id != previous;
+}
+
 } // namespace
 
 std::string event_splitter::take(std::string_view bytes)
 {
     m_partial.append(bytes);
+    m_out_of_order = false;
     std::size_t done = 0;
     for (std::size_t end = end_of_event(m_partial, 0); end != std::string::npos;
          end = end_of_event(m_partial, done))
@@ -66,8 +91,16 @@
             id_of(std::string_view(m_partial).substr(done, end - done));
         if (!id.empty())
         {
+            if (!m_resumes_after.empty() && !is_after(id, m_resumes_after))
+            {
+                m_out_of_order = true;
+                m_partial.clear();
+                return {};
+            }
+            m_resumes_after.clear();
             m_last_id = std::move(id);
         }
+        m_cut_event = false;
         done = end;
     }
     std::string whole = m_partial.substr(0, done);
--- a/tests/entry/stream_continuation_test.cpp
+++ b/tests/entry/stream_continuation_test.cpp
@@ -101,6 +101,9 @@
     {"204", "HTTP/1.1 204 No Content\r\n" + own + "\r\n"},
     {"206", with_length("206 Partial Content",
                         "Content-Type: text/event-stream\r\n", event_2)},
+    {"no event", stream_head + last_chunk},
+    {"from the first id", stream_head + chunk(event_1 + event_2) + last_chunk},
+    {"same id", stream_head + chunk(event_1) + last_chunk},
 };
 
 } // namespace
