Fix: [Platform] an odd row of the lease of orders could end its reader

The value of the lease row was read without a check of kinds: by reading the code, a holder that is a number made json::value() throw out of read_lease(), and times near the largest 64-bit number overflowed. A value that is no JSON object counted as released, so a successor waited for the handover only, while the holder whose row was overwritten could still send orders.

decode_lease() reads whole numbers within bounds. A row that cannot be read counts as held by an unknown instance, which a successor waits out.

There is no failing run of the old code, which had no function to call in a test. A trial against a running instance was not made.

--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -413,3 +413,26 @@
         CHECK_FALSE(platform::decode_rules(rows.dump()));
     }
 }
+
+TEST_CASE("an odd row of the lease of orders ends no task")
+{
+    for (char const* value :
+         {"?", "[]", "7", R"({"holder":7})", R"({"holder":"a","sentAtMs":"x"})",
+          R"({"holder":"a","sentAtMs":-9223372036854775808})",
+          R"({"holder":"a","quietMs":9223372036854775807})",
+          R"({"holder":"a","quietMs":1e30})"})
+    {
+        INFO(value);
+        serving::lease_row_state state;
+        REQUIRE_NOTHROW(
+            platform::decode_lease(make_row("orders", value), 1000, state));
+        CHECK_FALSE(state.m_holder.empty());
+    }
+    serving::lease_row_state state;
+    platform::decode_lease(
+        make_row("orders", R"({"holder":"a","sentAtMs":400,"quietMs":5})"),
+        1000, state);
+    CHECK(state.m_holder == instance_id("a"));
+    CHECK(state.m_age == std::chrono::milliseconds(600));
+    CHECK(state.m_quiet == std::chrono::milliseconds(5));
+}
