Fix: [Serving] a rollout with unanswered orders stalled while engines had no free memory

Cause: while requests need most of the memory, two engines of twelve may be out of service. The loads that unanswered orders are expected to cause used up these places, so no further engine was ordered, also not when its weights were about to expire.

Change: for an engine whose weights expire soon the expected loads and the limit for busy engines do not count: it is about to be out of use in any case.

--- a/include/daisylead/serving/rollout_planner_base.hpp
+++ b/include/daisylead/serving/rollout_planner_base.hpp
@@ -196,6 +196,7 @@
         double m_expected = 0;      ///< loads to come by unanswered orders
         std::size_t m_at_once = 0;  ///< max. loading
         std::size_t m_max_out = 0;  ///< max. out of service
+        std::size_t m_max_out_urgent = 0; ///< the same for urgent engines
     };
 
     using engines_by_id =
@@ -223,6 +224,8 @@
     void order_in_service(std::vector<rollout_engine const*> const& waiting,
                           usage& use, time_point now,
                           std::vector<rollout_action>& actions);
+    bool is_order_bearable(usage const& use, rollout_engine const& engine,
+                           time_point now) const;
     void begin_order(upstream_id const& engine, bool is_drained, usage& use,
                      time_point now, std::vector<rollout_action>& actions);
     std::size_t max_out_of_service(std::vector<rollout_engine> const& engines,
--- a/src/serving/rollout_planner.cpp
+++ b/src/serving/rollout_planner.cpp
@@ -204,6 +204,8 @@
     }
     use.m_at_once = share_of(engines.size(), m_options.m_load_share);
     use.m_max_out = max_out_of_service(engines, use.m_at_once);
+    use.m_max_out_urgent =
+        share_of(engines.size(), m_options.m_out_of_service_share);
     return use;
 }
 
@@ -332,14 +334,9 @@
     std::stable_sort(due.begin(), due.end(),
                      [](auto const& a, auto const& b)
                      { return a.first < b.first; });
-    auto const max_out = static_cast<double>(use.m_max_out);
     for (auto const& [count, item] : due)
     {
-        double const share = answer_share(now);
-        bool const is_bearable =
-            (use.m_expected < max_out || is_urgent(*item)) &&
-            (share < m_options.m_negligible_share ||
-             out_of_service(use) + use.m_expected + share <= max_out);
+        bool const is_bearable = is_order_bearable(use, *item, now);
         unanswered_orders& orders =
             m_unanswered
                 .try_emplace(item->m_id,
@@ -359,6 +356,26 @@
     }
 }
 
+/** @return whether an order to an engine in service leaves enough engines in
+ *          service, as far as can be expected. An urgent engine is about to be
+ *          out of use in any case. */
+bool rollout_planner::is_order_bearable(usage const& use,
+                                        rollout_engine const& engine,
+                                        time_point now) const
+{
+    double const share = answer_share(now);
+    bool const is_negligible = share < m_options.m_negligible_share;
+    double const out = out_of_service(use) + share;
+    if (is_urgent(engine))
+    {
+        return is_negligible ||
+               out <= static_cast<double>(use.m_max_out_urgent);
+    }
+    auto const max_out = static_cast<double>(use.m_max_out);
+    return use.m_expected < max_out &&
+           (is_negligible || out + use.m_expected <= max_out);
+}
+
 void rollout_planner::begin_order(upstream_id const& engine, bool is_drained,
                                   usage& use, time_point now,
                                   std::vector<rollout_action>& actions)
