--- a/tests/entry/outdated_weights_test.cpp
+++ b/tests/entry/outdated_weights_test.cpp
@@ -66,6 +66,7 @@
     std::vector<serving::upstream_record> records() const
     {
         std::vector<serving::upstream_record> list;
+        list.reserve(m_engines.size());
         for (auto const& [id, engine] : m_engines)
         {
             list.push_back(make_engine(id.value(), "127.0.0.1:1", old_version));
