--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -436,3 +436,14 @@
     CHECK(state.m_age == std::chrono::milliseconds(600));
     CHECK(state.m_quiet == std::chrono::milliseconds(5));
 }
+
+TEST_CASE("a lease that was released after days without an order is free")
+{
+    // Guards against a successor that waits for an unknown holder.
+    serving::lease_row_state state;
+    platform::decode_lease(
+        make_row("orders", R"({"holder":"","quietMs":900000000})"), 1000,
+        state);
+    CHECK(state.m_holder.empty());
+    CHECK(state.m_quiet >= std::chrono::hours(1));
+}
