--- a/include/daisylead/base/id_type.hpp
+++ b/include/daisylead/base/id_type.hpp
@@ -52,6 +52,7 @@
 using attempt_id = string_id<struct attempt_tag>;
 using route_id = string_id<struct route_tag>;
 using service_id = string_id<struct service_tag>; ///< group of equal upstreams
+using software_version = string_id<struct software_version_tag>;
 using weights_version = string_id<struct weights_version_tag>;
 
 } // namespace daisylead
--- a/include/daisylead/serving/catalog_type.hpp
+++ b/include/daisylead/serving/catalog_type.hpp
@@ -109,6 +109,7 @@
     bool m_leaving = false;   ///< draining; takes no new requests
     /** Start time, Unix ms; identifies the run of the process. */
     std::int64_t m_started = 0;
+    software_version m_software; ///< of the process, not of the weights
     std::map<model_id, std::int64_t> m_weights; ///< loaded version by model
 };
 
@@ -135,6 +136,9 @@
     std::vector<prompt_part> m_parts; ///< segments of the prompt, in order
     /** Id of the event after which the caller resumes a stream. */
     std::string m_last_event;
+    /** Id of the request that brought the first event of the stream that the
+     *  caller resumes; empty: it does not resume one. */
+    std::string m_resumes;
 };
 
 } // namespace daisylead::serving
--- a/src/peer/codec.cpp
+++ b/src/peer/codec.cpp
@@ -424,6 +424,7 @@
         item.setSlots(record.m_slots);
         item.setLeaving(record.m_leaving);
         item.setStarted(record.m_started);
+        item.setSoftware(to_text(record.m_software.value()));
         auto weights = item.initWeights(size_of(record.m_weights));
         unsigned next = 0;
         for (auto const& [model, version] : record.m_weights)
@@ -755,6 +756,7 @@
         record.m_slots = item.getSlots();
         record.m_leaving = item.getLeaving();
         record.m_started = item.getStarted();
+        record.m_software = software_version(from_text(item.getSoftware()));
         for (auto& [model, version] :
              decode_amounts<model_id>(item.getWeights()))
         {
--- a/src/peer/peer.capnp
+++ b/src/peer/peer.capnp
@@ -172,6 +172,7 @@
   leaving @5 :Bool;
   started @6 :Int64;
   weights @7 :List(Amount);
+  software @8 :Text;
 }
 
 struct UpstreamChanges {
--- a/src/serving/upstream_list.cpp
+++ b/src/serving/upstream_list.cpp
@@ -22,7 +22,8 @@
 }
 
 /** @return digest of the fields that decide whether and where requests may go;
- *          loaded weights are exchanged separately. */
+ *          loaded weights are exchanged separately, and the software of a
+ *          process follows from its id and start. */
 std::uint64_t digest_of(upstream_record const& item)
 {
     std::string const text =
--- a/tests/peer/transport_test.cpp
+++ b/tests/peer/transport_test.cpp
@@ -75,6 +75,25 @@
     CHECK_FALSE(rates[1].m_per_second);
 }
 
+TEST_CASE("encoding keeps the software of an upstream")
+{
+    serving::fleet_news news;
+    serving::upstream_record record;
+    record.m_id = upstream_id("u");
+    record.m_started = 7;
+    record.m_software = software_version("v2");
+    news.m_upstream_changes = serving::upstream_changes{0, {record}, {}};
+    capnp::MallocMessageBuilder builder;
+    auto target = builder.initRoot<peer::wire::Message>();
+    peer::encode({instance_id("entry-1"), incarnation(42), news}, target);
+    peer::message const decoded = peer::decode(target.asReader());
+    auto const& body = std::get<serving::fleet_news>(decoded.m_body);
+    REQUIRE(body.m_upstream_changes);
+    REQUIRE(body.m_upstream_changes->m_changed.size() == 1);
+    CHECK(body.m_upstream_changes->m_changed.front().m_software ==
+          software_version("v2"));
+}
+
 TEST_CASE("encoding keeps crashes, answered parts and blocked parts")
 {
     serving::fleet_news news;
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -48,6 +48,7 @@
     REQUIRE(list.size() == 1);
     CHECK(list[0].m_id == upstream_id("i-1"));
     CHECK(list[0].m_started == 1700000000000);
+    CHECK(list[0].m_software == software_version("v1"));
     CHECK(list[0].m_weights.at(model_id("m")) == 3);
     CHECK_FALSE(list[0].m_leaving);
 }
@@ -210,6 +211,8 @@
     header.set("X-Prompt-Prefix", "aa:800, bb:410,cc:250");
     header.set("X-Deadline-Ms", "6000");
     header.set("X-Credential", " k1 ");
+    header.set("Last-Event-Id", "12");
+    header.set("Resumes", " 9c41d07be2a35f68");
     auto const request = platform::describe(header);
     CHECK(request.m_path == "/x/y/z");
     CHECK(request.m_tokens == token_count(1540));
@@ -218,6 +221,8 @@
     CHECK(request.m_parts[1].m_tokens == token_count(410));
     CHECK(request.m_caller_timeout == std::chrono::seconds(6));
     CHECK(request.m_key == "k1");
+    CHECK(request.m_last_event == "12");
+    CHECK(request.m_resumes == "9c41d07be2a35f68");
     header.set("X-Token-Count", "many");
     CHECK_FALSE(platform::describe(header).m_tokens);
 }
