--- a/tests/entry/stand_in.cpp
+++ b/tests/entry/stand_in.cpp
@@ -203,6 +203,8 @@
         request.m_key = value_of(header, "Key");
     }
     request.m_model = model_id(value_of(header, "Model"));
+    request.m_last_event = value_of(header, "Last-Event-Id");
+    request.m_resumes = value_of(header, "Resumes");
     std::istringstream parts(value_of(header, "Parts"));
     for (std::string part; std::getline(parts, part, ',');)
     {
@@ -481,6 +483,13 @@
     m_rules = add_catalog(std::move(catalog));
 }
 
+void running_instance::set_upstreams(
+    std::vector<serving::upstream_record> upstreams)
+{
+    std::lock_guard const lock(m_mutex);
+    m_upstreams = std::move(upstreams);
+}
+
 std::vector<request::blocked_part> block_store::read()
 {
     std::lock_guard const lock(m_mutex);
@@ -599,6 +608,7 @@
     calls.m_decode_rules = &find_catalog;
     calls.m_decode_upstreams = [this](std::string const&)
     {
+        std::lock_guard const lock(m_mutex);
         return m_upstreams;
     };
     calls.m_read_members =
--- a/tests/entry/stand_in.hpp
+++ b/tests/entry/stand_in.hpp
@@ -134,7 +134,8 @@
 };
 
 /** One entry instance with a minimal adapter. Header fields: Id, Key, Parts,
- *  Model, Deadline-Ms, Seal, Not-Run, Leaving, Retry-After, Rate-Limit. */
+ *  Model, Deadline-Ms, Last-Event-Id, Resumes, Seal, Not-Run, Leaving,
+ *  Retry-After, Rate-Limit. */
 class running_instance
 {
 public:
@@ -173,6 +174,9 @@
     /** The store holds another configuration from now on. */
     void set_rules(std::uint64_t revision, serving::catalog catalog);
 
+    /** Service discovery holds other upstreams from now on. */
+    void set_upstreams(std::vector<serving::upstream_record> upstreams);
+
     /** @return number of reads of the configuration. */
     int rules_reads() const
     {
@@ -192,7 +196,7 @@
     std::mutex m_mutex;
     std::string m_rules;          ///< see add_catalog(), guarded by m_mutex
     std::uint64_t m_revision = 1; ///< guarded by m_mutex
-    std::vector<serving::upstream_record> m_upstreams;
+    std::vector<serving::upstream_record> m_upstreams; ///< see m_mutex
     engine_control m_engines;
     std::atomic<int> m_rules_reads = 0;
     std::atomic<bool> m_store_failed = false;
