Test: [Entry] choose other ports if another process has taken one meanwhile

The harness asks for a free port, closes it and uses it later; 26 instances do so 78 times. The start is tried again with other ports, at most five times. No check changes.

--- a/tests/entry/stand_in.cpp
+++ b/tests/entry/stand_in.cpp
@@ -517,12 +517,26 @@
 void running_instance::start(peer::transport_factory const& make_transport)
 {
     m_settings.m_zone = zone_id("a");
-    m_settings.m_caller_address = free_address();
-    m_settings.m_readiness_address = free_address();
-    m_settings.m_metrics_address = free_address();
-    m_instance = std::make_unique<entry::entry_instance>(
-        m_context, m_settings, make_adapter(), make_transport,
-        [] { return std::optional<config::entry_settings>(); });
+    // Another process can take a port between its choice and its use.
+    for (int tries = 5; !m_instance; --tries)
+    {
+        m_settings.m_caller_address = free_address();
+        m_settings.m_readiness_address = free_address();
+        m_settings.m_metrics_address = free_address();
+        try
+        {
+            m_instance = std::make_unique<entry::entry_instance>(
+                m_context, m_settings, make_adapter(), make_transport,
+                [] { return std::optional<config::entry_settings>(); });
+        }
+        catch (error const&)
+        {
+            if (tries <= 1)
+            {
+                throw;
+            }
+        }
+    }
     m_thread = std::thread([this] { m_instance->run(); });
     for (int i = 0; i < 100; ++i)
     {
