Fix: [Entry] a stream went on at another software version than the one that began it

Cause: upstreams of a service were taken for interchangeable; the version in service discovery was thrown away and the name of the request that began a resumed stream was not read. Evidence: with the log fields of twelve answers were joined from two versions and at least four resumed streams.

Change: a stream goes on only at its version, within an answer and when a caller resumes it at any instance. While a service provably had one version, nothing is recorded; else the origin of each stream goes to three peers. A join is preceded by a read of service discovery, which must not contradict the origin. What is not proven is refused, or cut within an answer.

--- a/include/daisylead/peer/message_type.hpp
+++ b/include/daisylead/peer/message_type.hpp
@@ -8,6 +8,7 @@
 #include <daisylead/membership/membership_type.hpp>
 #include <daisylead/request/quarantine_base.hpp>
 #include <daisylead/serving/fleet_news_type.hpp>
+#include <daisylead/serving/stream_registry_base.hpp>
 
 #include <cstdint>
 #include <string>
@@ -59,12 +60,21 @@
     bool m_leaving = false; ///< it takes no new work
 };
 
+/** Streams for the receiver to keep; in a reply the asked ones that the sender
+ *  knows. */
+struct stream_records
+{
+    std::vector<serving::stream_origin> m_origins; ///< lifetimes count from now
+    std::vector<std::string> m_asked; ///< ids of the first requests
+};
+
 using message_body =
     std::variant<none, membership::ping, membership::ping_reply, fetch_config,
                  config_text, limits::reserve_request, limits::reserve_reply,
                  limits::settle, lease::lease_confirm_request,
                  lease::lease_confirm_reply, quarantine_news, claim_query,
-                 claim_status, upstream_news, serving::fleet_news>;
+                 claim_status, upstream_news, serving::fleet_news,
+                 stream_records>;
 
 /** A message with its sender. The sender fields inside a body are filled from
  *  these on arrival. */
--- a/include/daisylead/serving/fleet_news_type.hpp
+++ b/include/daisylead/serving/fleet_news_type.hpp
@@ -106,6 +106,22 @@
     std::int64_t m_age_ms = 0;  ///< lower bound of the time since then
 };
 
+/** Software version in use at a service, see software_history. */
+struct software_use_news
+{
+    service_id m_service;                ///< the service
+    software_version m_software;         ///< version of its upstreams
+    std::int64_t m_last_used_age_ms = 0; ///< since it was last in use
+};
+
+/** Software versions in use, as known to the sender. */
+struct software_news
+{
+    std::int64_t m_since_age_ms = 0; ///< start of the known time
+    std::int64_t m_until_age_ms = 0; ///< its end
+    std::vector<software_use_news> m_uses;
+};
+
 /** State of one instance; request and reply have the same form. A relay sends
  *  the sums over its group: itself and the instances that report to it. */
 struct fleet_news
@@ -152,12 +168,13 @@
     std::optional<std::int64_t> m_kv_store_age_ms;
     /** Hashes of prefixes saved in the KV cache store. */
     std::vector<std::uint64_t> m_saved;
-    bool m_wants_members = false;       ///< reply with m_members
-    bool m_wants_rules = false;         ///< reply with m_rules_document
-    bool m_wants_upstreams = false;     ///< reply with m_upstream_changes
-    std::vector<named_weights> m_named; ///< sent with m_members
-    std::vector<member> m_members;      ///< on request
-    std::string m_rules_document;       ///< on request
+    bool m_wants_members = false;            ///< reply with m_members
+    bool m_wants_rules = false;              ///< reply with m_rules_document
+    bool m_wants_upstreams = false;          ///< reply with m_upstream_changes
+    std::vector<named_weights> m_named;      ///< sent with m_members
+    std::optional<software_news> m_software; ///< sent with m_members
+    std::vector<member> m_members;           ///< on request
+    std::string m_rules_document;            ///< on request
     std::optional<upstream_changes> m_upstream_changes; ///< on request
 };
 
--- a/include/daisylead/serving/fleet_roster_base.hpp
+++ b/include/daisylead/serving/fleet_roster_base.hpp
@@ -201,6 +201,12 @@
      *          as seen by this one. */
     rate_group rate_sharers(time_point now) const;
 
+    /** @return the peers that keep the record of @p key, best first. All
+     *          instances choose nearly the same ones, the first of them in
+     *          different availability zones. */
+    std::vector<member> record_keepers(std::string const& key,
+                                       std::size_t count, time_point now) const;
+
     /** @return the member list to send to peers. */
     std::vector<member> members_for_peers(time_point now) const;
 
--- a/include/daisylead/serving/upstream_pool_base.hpp
+++ b/include/daisylead/serving/upstream_pool_base.hpp
@@ -85,8 +85,10 @@
 /** Properties of a request that the choice of an upstream depends on. */
 struct placement_request
 {
-    service_id m_service;        ///< target service
-    model_id m_model;            ///< empty for plain services
+    service_id m_service; ///< target service
+    model_id m_model;     ///< empty for plain services
+    /** Set if only upstreams of this version may take the request. */
+    std::optional<software_version> m_software;
     std::uint64_t m_prefix = 0;  ///< hash of the shared prefix; 0: none
     token_count m_prefix_tokens; ///< length of that prefix
     token_count m_tokens;        ///< prompt and output tokens
--- a/src/entry/caller_server.hpp
+++ b/src/entry/caller_server.hpp
@@ -16,7 +16,7 @@
     caller_server(asio::any_io_executor const& executor,
                   std::string const& address, fleet_state& state,
                   connection_pool& pool, silence_detector& silence,
-                  crash_detector& crashes);
+                  crash_detector& crashes, stream_directory& streams);
 
     /** Starts to accept. */
     void start();
@@ -37,6 +37,7 @@
     connection_pool& m_pool;
     silence_detector& m_silence_detector;
     crash_detector& m_crash_detector;
+    stream_directory& m_streams;
     std::set<std::shared_ptr<caller_connection>> m_idle;
     bool m_closing = false;
 };
--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -69,9 +69,12 @@
           m_exchange(context.get_executor(), m_state, make_transport),
           m_store_poller(context.get_executor(), m_state, m_exchange),
           m_rollout(context.get_executor(), m_state, m_exchange),
+          m_streams(context.get_executor(), m_state, m_exchange,
+                    [this](time_point after)
+                    { return m_store_poller.confirm_upstreams(after); }),
           m_caller_server(context.get_executor(), settings.m_caller_address,
-                          m_state, m_pool, m_silence_detector,
-                          m_crash_detector),
+                          m_state, m_pool, m_silence_detector, m_crash_detector,
+                          m_streams),
           m_readiness_server(
               context.get_executor(), settings.m_readiness_address,
               [this](std::string const& path) { return readiness(path); }),
@@ -258,6 +261,7 @@
     fleet_exchange m_exchange;
     store_poller m_store_poller;
     rollout_controller m_rollout;
+    stream_directory m_streams;
     caller_server m_caller_server;
     text_server m_readiness_server;
     text_server m_metrics_server;
--- a/src/entry/fleet_exchange.cpp
+++ b/src/entry/fleet_exchange.cpp
@@ -87,6 +87,10 @@
                     {
                         body = handle_news(*news);
                     }
+                    else if (news == nullptr && m_handler)
+                    {
+                        body = m_handler(message.m_body);
+                    }
                     reply({self().m_id, incarnation(self().m_started),
                            std::move(body)});
                 });
@@ -281,6 +285,24 @@
         });
 }
 
+void fleet_exchange::call(
+    std::string const& address, peer::message_body body,
+    std::function<void(std::optional<peer::message_body>)> on_reply)
+{
+    m_transport->send(
+        address, {self().m_id, incarnation(self().m_started), std::move(body)},
+        reply_timeout,
+        [this,
+         on_reply = std::move(on_reply)](std::optional<peer::message> reply)
+        {
+            asio::post(m_executor,
+                       [on_reply, reply = std::move(reply)] {
+                           on_reply(reply ? std::optional(reply->m_body)
+                                          : std::nullopt);
+                       });
+        });
+}
+
 void fleet_exchange::apply_usage_and_load(serving::fleet_news const& news,
                                           peer_relation relation,
                                           time_point now)
@@ -431,6 +453,10 @@
     peer.m_knows_members = true;
     apply_news(reply, m_state.m_roster.note_reply(reply, now), sent_at);
     m_state.apply_named_weights(reply.m_named, sent_at);
+    if (reply.m_software)
+    {
+        m_state.apply_software_news(*reply.m_software, sent_at);
+    }
     if (reply.m_kv_store_age_ms)
     {
         m_state.note_kv_store(
@@ -484,6 +510,7 @@
     if (news.m_wants_members)
     {
         reply.m_named = m_state.named_weights(now);
+        reply.m_software = m_state.software_news(now);
         // A process that has just started has missed the answers in which these
         // upstreams announced that they leave.
         reply.m_leaving_upstreams = m_state.m_upstream_pool.announced_leaving();
--- a/src/entry/fleet_exchange.hpp
+++ b/src/entry/fleet_exchange.hpp
@@ -32,6 +32,22 @@
      *  @param from source of the change; empty: this instance */
     void send_now(instance_id const& from = instance_id());
 
+    /** Handles messages of peers that are no news; the result is the reply.
+     *  Runs on the thread of the instance. */
+    using message_handler =
+        std::function<peer::message_body(peer::message_body const&)>;
+
+    void set_message_handler(message_handler handler)
+    {
+        m_handler = std::move(handler);
+    }
+
+    /** Calls a peer.
+     *  @param on_reply runs on the thread of the instance, with nothing if no
+     *  reply came in time; may not be called when the instance stops */
+    void call(std::string const& address, peer::message_body body,
+              std::function<void(std::optional<peer::message_body>)> on_reply);
+
     /** @return start time of this process. */
     time_point started_at() const
     {
@@ -78,6 +94,7 @@
     time_point m_started_at;
     time_point m_next_seed_contact;
     boost::asio::steady_timer m_wake; ///< cancelled to run send_loop() early
+    message_handler m_handler;        ///< may be empty
     std::unique_ptr<peer::transport> m_transport;
 };
 
--- a/src/entry/fleet_state.cpp
+++ b/src/entry/fleet_state.cpp
@@ -53,6 +53,10 @@
  *  replies. */
 constexpr duration rate_grant_ttl = 1300ms;
 
+/** Time between two reads of service discovery in which no upstream can come
+ *  and go unseen: one that leaves is listed for two seconds after that. */
+constexpr duration max_list_gap = 2s;
+
 /** Quarantine period of a request that crashed upstreams. */
 constexpr duration quarantine_period = 30s;
 
@@ -126,7 +130,7 @@
           pool_options(settings), &random_number,
           [this](upstream_id const& id, double per_second, time_point now)
           { return rate_share(id, per_second, now); }),
-      m_quotas(peer_silent_after, quota_initial_fill),
+      m_software(max_list_gap), m_quotas(peer_silent_after, quota_initial_fill),
       m_retries({settings.m_retry_ratio,
                  static_cast<double>(settings.m_retry_extra),
                  settings.m_retry_window}),
@@ -301,6 +305,7 @@
         std::max(read_at, m_upstreams_read_at.value_or(read_at));
     auto const [added, removed] =
         m_upstream_pool.take_list(m_upstreams.records(), read_at);
+    note_software(read_at, source);
     for (upstream_id const& id : removed)
     {
         // Its requests may have crashed it; the quarantine decides by the
@@ -319,6 +324,32 @@
     }
 }
 
+void fleet_state::note_software(time_point read_at, std::string const& source)
+{
+    auto const before = m_software.listed();
+    m_software.note_list(m_upstreams.records(), read_at);
+    for (auto const& [service, versions] : m_software.listed())
+    {
+        auto const known = before.find(service);
+        if (known == before.end() || known->second != versions)
+        {
+            nlohmann::json names = nlohmann::json::array();
+            for (software_version const& version : versions)
+            {
+                names.push_back(version.value());
+            }
+            telemetry::log(severity::info, "software_versions",
+                           {{"service", service.value()},
+                            {"versions", std::move(names)},
+                            {"source", source}});
+        }
+    }
+    if (m_on_upstreams)
+    {
+        m_on_upstreams();
+    }
+}
+
 void fleet_state::note_rules_unchanged(time_point read_at)
 {
     m_rules_freshness.note_read(m_rules_freshness.revision(), read_at);
@@ -332,6 +363,7 @@
     {
         m_upstreams_read_at = read_at;
         m_upstream_pool.note_list_unchanged(m_upstreams.records(), read_at);
+        note_software(read_at, "confirmed");
     }
 }
 
@@ -804,6 +836,54 @@
     }
 }
 
+std::optional<serving::software_news>
+fleet_state::software_news(time_point now) const
+{
+    auto const report = m_software.report();
+    if (!report)
+    {
+        return std::nullopt;
+    }
+    // Rounded to the times that prove less.
+    auto const at_most = [now](time_point time)
+    {
+        return std::chrono::floor<std::chrono::milliseconds>(now - time)
+            .count();
+    };
+    serving::software_news news{
+        at_most(report->m_since),
+        std::chrono::ceil<std::chrono::milliseconds>(now - report->m_until)
+            .count(),
+        {}};
+    for (serving::software_use const& use : report->m_uses)
+    {
+        news.m_uses.push_back(
+            {use.m_service, use.m_software, at_most(use.m_last_used)});
+    }
+    return news;
+}
+
+void fleet_state::apply_software_news(serving::software_news const& news,
+                                      time_point sent_at)
+{
+    if (news.m_since_age_ms < 0)
+    {
+        return;
+    }
+    time_point const now = boot_time();
+    serving::software_report report{
+        now - std::chrono::milliseconds(news.m_since_age_ms),
+        sent_at - std::chrono::milliseconds(news.m_until_age_ms),
+        {}};
+    for (serving::software_use_news const& use : news.m_uses)
+    {
+        report.m_uses.push_back(
+            {use.m_service, use.m_software,
+             now - std::chrono::milliseconds(use.m_last_used_age_ms)});
+    }
+    m_software.merge(report);
+}
+
 void fleet_state::note_kv_store(std::int64_t epoch, time_point answered_at)
 {
     if (m_kv_store_answered_at && answered_at <= *m_kv_store_answered_at)
--- a/src/entry/fleet_state.hpp
+++ b/src/entry/fleet_state.hpp
@@ -9,6 +9,7 @@
 #include <daisylead/serving/fleet_roster_base.hpp>
 #include <daisylead/serving/freshness_base.hpp>
 #include <daisylead/serving/retry_throttle_base.hpp>
+#include <daisylead/serving/software_history_base.hpp>
 #include <daisylead/serving/upstream_list_base.hpp>
 #include <daisylead/telemetry/metrics_base.hpp>
 
@@ -156,6 +157,15 @@
     void apply_named_weights(std::vector<serving::named_weights> const& named,
                              time_point sent_at);
 
+    /** @return the software versions in use, for a peer that has just started;
+     *          nothing before the first list of upstreams. */
+    std::optional<serving::software_news> software_news(time_point now) const;
+
+    /** Adds what a peer knows of the software versions in use.
+     *  @param sent_at when this instance sent the call that they reply to */
+    void apply_software_news(serving::software_news const& news,
+                             time_point sent_at);
+
     /** The KV cache store answered at @p answered_at. */
     void note_kv_store(std::int64_t epoch, time_point answered_at);
 
@@ -186,6 +196,7 @@
     std::uint64_t m_upstreams_revision = 0; ///< revision of the newest read
     std::optional<time_point> m_upstreams_read_at;
     serving::upstream_pool m_upstream_pool;
+    serving::software_history m_software;
     serving::quota_limiter m_quotas;
     serving::retry_throttle m_retries;
     request::quarantine m_quarantine;
@@ -201,6 +212,7 @@
     std::int64_t m_kv_store_epoch = 0;
     std::optional<time_point> m_kv_store_answered_at; ///< empty: down
     std::function<void()> m_on_urgent_news; ///< sends news immediately
+    std::function<void()> m_on_upstreams;   ///< a list was read or confirmed
     bool m_draining = false;
     /** Requests whose first byte has arrived and whose answer is not
      *  complete. Shared with the connections, which may outlive this state. */
@@ -221,6 +233,7 @@
     double rate_share(upstream_id const& id, double per_second,
                       time_point now) const;
     void keep_newer_weights(serving::catalog& catalog) const;
+    void note_software(time_point read_at, std::string const& source);
     void note_store_era(std::uint64_t era, std::string const& source);
     void send_to_peers(serving::news_outbox const& items,
                        instance_id const& from);
--- a/src/entry/request_attempt.cpp
+++ b/src/entry/request_attempt.cpp
@@ -374,7 +374,7 @@
             }
             else if (success && m_route.m_streaming)
             {
-                result = co_await answer_stream(*m_upstream);
+                result = co_await answer_stream(*m_upstream, place.m_upstream);
             }
             else if (m_possible_runs > 1 && promises_not_run(status))
             {
@@ -481,7 +481,8 @@
 }
 
 awaitable<request_runner::next_action>
-request_runner::answer_stream(http_connection& upstream)
+request_runner::answer_stream(http_connection& upstream,
+                              serving::upstream_record const& sender)
 {
     int const status = upstream.status();
     http::fields fields = upstream.header();
@@ -536,6 +537,7 @@
             m_status = status;
             m_stream_type = media_type(fields);
             m_stream_begun = true;
+            note_stream_begun(sender);
             m_state.m_metrics.observe("daisylead_first_event_seconds",
                                       boot_time() - m_began);
             bool const begun =
--- a/src/entry/request_runner.cpp
+++ b/src/entry/request_runner.cpp
@@ -71,11 +71,12 @@
 request_runner::request_runner(fleet_state& state, connection_pool& pool,
                                silence_detector& silence,
                                crash_detector& crashes,
+                               stream_directory& streams,
                                std::shared_ptr<caller_connection> caller,
                                http::request<http::string_body> request)
     : m_state(state), m_pool(pool), m_silence_detector(silence),
-      m_crash_detector(crashes), m_caller(std::move(caller)),
-      m_request(std::move(request))
+      m_crash_detector(crashes), m_streams(streams),
+      m_caller(std::move(caller)), m_request(std::move(request))
 {
 }
 
@@ -86,6 +87,10 @@
     m_description = m_state.m_adapter.m_describe(m_request.base());
     m_close_after = m_state.m_draining || !m_request.keep_alive();
     m_refusal = check();
+    if (!m_refusal && resumes_stream())
+    {
+        m_refusal = co_await find_stream_origin();
+    }
     if (!m_refusal)
     {
         m_caller->watch(
@@ -106,6 +111,11 @@
             next = next_action::done;
             break;
         }
+        if (m_stream_begun && !co_await confirm_stream_origin())
+        {
+            next = next_action::refuse;
+            break;
+        }
         std::optional<serving::placement> const place =
             co_await this->wait_for_placement();
         if (!place)
@@ -130,6 +140,61 @@
     co_return !m_close_after && !m_caller->is_gone();
 }
 
+bool request_runner::resumes_stream() const
+{
+    return m_route.m_streaming && m_route.m_resumable &&
+           !(m_description.m_resumes.empty() &&
+             m_description.m_last_event.empty());
+}
+
+awaitable<std::optional<request_runner::refusal>>
+request_runner::find_stream_origin()
+{
+    auto const needed = co_await m_streams.find(m_description.m_resumes,
+                                                m_service, m_route.m_timeout);
+    if (!needed)
+    {
+        co_return refusal{503, "stream_origin_unknown",
+                          "it is not known which software version began the "
+                          "stream; start it anew",
+                          std::nullopt};
+    }
+    m_service = needed->m_service;
+    m_software = needed->m_software;
+    m_software_source = needed->m_source;
+    co_return std::nullopt;
+}
+
+awaitable<bool> request_runner::confirm_stream_origin()
+{
+    bool const confirmed = co_await m_streams.confirm(m_origin);
+    if (!confirmed)
+    {
+        m_refusal = refusal{502, "stream_origin_changed",
+                            "the upstream that began the stream is another "
+                            "process now",
+                            std::nullopt};
+    }
+    co_return confirmed;
+}
+
+void request_runner::note_stream_begun(serving::upstream_record const& upstream)
+{
+    if (!m_route.m_resumable)
+    {
+        return;
+    }
+    m_software = upstream.m_software;
+    m_origin = {m_description.m_resumes.empty() ? m_description.m_id
+                                                : m_description.m_resumes,
+                m_service,
+                upstream.m_id,
+                upstream.m_started,
+                upstream.m_software,
+                {}};
+    m_streams.note_begun(m_origin, m_route.m_timeout);
+}
+
 std::optional<request_runner::refusal> request_runner::check()
 {
     m_catalog = m_state.m_catalog;
@@ -325,7 +390,10 @@
     {
         return m_route.m_split.front().m_service;
     }
-    std::string const& id = m_description.m_id;
+    // A resumed stream goes to the service that began it.
+    std::string const& id = m_description.m_resumes.empty()
+                                ? m_description.m_id
+                                : m_description.m_resumes;
     auto point = static_cast<std::int64_t>(XXH64(id.data(), id.size(), 0) %
                                            static_cast<std::uint64_t>(total));
     for (serving::traffic_share const& share : m_route.m_split)
@@ -359,6 +427,7 @@
         m_route.m_target_latency / hold_divisor, hold_poll_interval);
     serving::placement_request placement_query;
     placement_query.m_service = m_service;
+    placement_query.m_software = m_software;
     if (m_route.m_prompted)
     {
         placement_query.m_model = m_description.m_model;
@@ -591,6 +660,8 @@
          {"end", m_end_reason},
          {"attempts", m_attempts},
          {"resumes", m_description.m_resumes},
+         {"software", m_software ? m_software->value() : ""},
+         {"software_source", m_software_source},
          {"resumes_after", m_description.m_last_event},
          {"last_event", m_splitter.last_id()},
          {"waited_ms", ms(m_wait_time)},
--- a/src/entry/request_runner.hpp
+++ b/src/entry/request_runner.hpp
@@ -5,6 +5,7 @@
 #include "crash_detector.hpp"
 #include "fleet_state.hpp"
 #include "silence_detector.hpp"
+#include "stream_directory.hpp"
 
 #include <daisylead/serving/event_splitter_base.hpp>
 
@@ -23,6 +24,7 @@
 public:
     request_runner(fleet_state& state, connection_pool& pool,
                    silence_detector& silence, crash_detector& crashes,
+                   stream_directory& streams,
                    std::shared_ptr<caller_connection> caller,
                    http::request<http::string_body> request);
 
@@ -64,11 +66,21 @@
     std::optional<refusal> check_before_send(time_point now);
     service_id choose_service() const;
     token_count upstream_capacity() const;
+    /** @return whether the caller resumes a stream. */
+    bool resumes_stream() const;
+    /** Finds the service and the software version of a resumed stream. */
+    awaitable<std::optional<refusal>> find_stream_origin();
+    /** Before a stream that has begun goes on at another upstream.
+     *  @return whether the version of its first one is known for sure */
+    awaitable<bool> confirm_stream_origin();
+    void note_stream_begun(serving::upstream_record const& upstream);
     awaitable<std::optional<serving::placement>> wait_for_placement();
     awaitable<next_action> attempt(serving::placement const& place);
     awaitable<next_action> answer_whole(http_connection& upstream,
                                         answer_info const& info);
-    awaitable<next_action> answer_stream(http_connection& upstream);
+    awaitable<next_action>
+    answer_stream(http_connection& upstream,
+                  serving::upstream_record const& sender);
     /** @return whether an answer has the status and media type of the stream
      *          that the caller receives. */
     bool continues_stream(http_connection const& upstream) const;
@@ -92,6 +104,7 @@
     connection_pool& m_pool;
     silence_detector& m_silence_detector;
     crash_detector& m_crash_detector;
+    stream_directory& m_streams;
     std::shared_ptr<caller_connection> m_caller;
     http::request<http::string_body> m_request;
     serving::request_description m_description;
@@ -120,7 +133,11 @@
     serving::event_splitter m_splitter;
     bool m_stream_begun = false; ///< header was sent to the caller
     std::string m_stream_type;   ///< media type in that header
-    bool m_close_after = false;  ///< close the connection after this answer
+    /** Set once the stream must go on at upstreams of one version only. */
+    std::optional<software_version> m_software;
+    std::string m_software_source;   ///< how m_software is known, for the log
+    serving::stream_origin m_origin; ///< of the stream that has begun
+    bool m_close_after = false;      ///< close the connection after this answer
     std::optional<refusal> m_refusal;
     int m_status = 0;
     std::string m_end_reason; ///< outcome in the log and metrics
--- a/src/entry/store_poller.cpp
+++ b/src/entry/store_poller.cpp
@@ -6,6 +6,10 @@
 
 #include <daisylead/telemetry/log_func.hpp>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -86,6 +90,9 @@
  *  copy. */
 constexpr duration max_copy_age = 5min;
 
+/** Time for a read that a caller waits for. */
+constexpr std::chrono::milliseconds confirm_timeout = 250ms;
+
 /** Interval of checks whether any peer is live. */
 constexpr std::chrono::milliseconds peers_check_interval = 2s;
 
@@ -93,7 +100,8 @@
 
 store_poller::store_poller(asio::any_io_executor const& executor,
                            fleet_state& state, fleet_exchange& exchange)
-    : m_executor(executor), m_state(state), m_exchange(exchange)
+    : m_executor(executor), m_state(state), m_exchange(exchange),
+      m_confirmed(executor)
 {
 }
 
@@ -235,6 +243,64 @@
     }
 }
 
+awaitable<void> store_poller::read_upstreams_now()
+{
+    std::optional<document_read> read;
+    try
+    {
+        read = co_await m_state.m_adapter.m_read_upstreams();
+    }
+    catch (std::exception const& failure)
+    {
+        telemetry::log(severity::warning, "upstreams_unconfirmed",
+                       {{"error", failure.what()}});
+    }
+    m_state.m_metrics.count(
+        "daisylead_store_reads_total",
+        {{"what", "confirmation"}, {"answered", read ? "yes" : "no"}});
+    if (read)
+    {
+        std::uint64_t const before = m_state.m_upstreams.digest();
+        m_state.replace_upstreams(read->m_document, read->m_read_at);
+        if (m_state.m_upstreams.digest() != before)
+        {
+            m_exchange.send_now();
+        }
+    }
+    m_confirming = false;
+    m_confirmed.cancel();
+}
+
+awaitable<bool> store_poller::confirm_upstreams(time_point after)
+{
+    for (;;)
+    {
+        if (m_state.m_upstreams_read_at &&
+            *m_state.m_upstreams_read_at >= after)
+        {
+            co_return true;
+        }
+        if (!m_confirming)
+        {
+            if (m_confirm_began >= after)
+            {
+                co_return false;
+            }
+            m_confirming = true;
+            m_confirm_began = boot_time();
+            m_confirmed.expires_after(confirm_timeout);
+            asio::co_spawn(m_executor, read_upstreams_now(), asio::detached);
+        }
+        boost::system::error_code failure;
+        co_await m_confirmed.async_wait(
+            asio::redirect_error(asio::use_awaitable, failure));
+        if (!failure)
+        {
+            co_return false;
+        }
+    }
+}
+
 awaitable<void> store_poller::kv_store_loop()
 {
     std::uint64_t since = 0;
--- a/src/entry/store_poller.hpp
+++ b/src/entry/store_poller.hpp
@@ -19,7 +19,13 @@
     /** Starts polling. */
     void start();
 
+    /** Reads service discovery now unless a read that was sent at @p after or
+     *  later is known. Several callers share one read.
+     *  @return false if no read succeeded in a short time */
+    awaitable<bool> confirm_upstreams(time_point after);
+
 private:
+    awaitable<void> read_upstreams_now();
     awaitable<void> rules_loop();
     awaitable<void> upstreams_loop();
     awaitable<void> members_loop();
@@ -38,6 +44,10 @@
     fleet_exchange& m_exchange;
     /** When this instance learnt of blocked prompt parts. */
     std::map<request::part_digest, time_point> m_unstored_since;
+    /** Cancelled at the end of a read for confirm_upstreams(). */
+    boost::asio::steady_timer m_confirmed;
+    bool m_confirming = false;  ///< such a read is in progress
+    time_point m_confirm_began; ///< when the last one was sent
 };
 
 } // namespace daisylead::entry
--- /dev/null
+++ b/src/entry/stream_directory.cpp
@@ -0,0 +1,279 @@
+/** @file Where streams began that callers may resume at any instance. */
+#include "stream_directory.hpp"
+
+#include <daisylead/telemetry/log_func.hpp>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <nlohmann/json.hpp>
+
+namespace daisylead::entry
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+using telemetry::severity;
+
+/** A caller can resume a stream for this many timeouts of its route after the
+ *  first event: the rest of the request and all repetitions. */
+constexpr int lifetime_in_timeouts = 2;
+
+/** Maximum number of streams that are known at a time. */
+constexpr std::size_t max_streams = 4096;
+
+/** Peers that get the origin of a stream. */
+constexpr std::size_t keepers = 3;
+
+/** Peers that are asked for it: the choice of keepers differs a little between
+ *  the instances. */
+constexpr std::size_t asked_keepers = 5;
+
+/** Time for an answer of the peers: several round trips. */
+constexpr std::chrono::milliseconds ask_timeout = 150ms;
+
+/** Calls of a peer: the first one may find its connection reset. */
+constexpr int max_calls = 2;
+
+} // namespace
+
+stream_directory::stream_directory(boost::asio::any_io_executor const& executor,
+                                   fleet_state& state, fleet_exchange& exchange,
+                                   confirm_hook confirm)
+    : m_executor(executor), m_state(state), m_exchange(exchange),
+      m_confirm(std::move(confirm)), m_known(max_streams)
+{
+    m_exchange.set_message_handler([this](peer::message_body const& body)
+                                   { return on_message(body); });
+    m_state.m_on_upstreams = [this]
+    {
+        on_upstreams();
+    };
+}
+
+std::optional<software_version>
+stream_directory::sole_version(service_id const& service,
+                               std::chrono::milliseconds timeout) const
+{
+    time_point const now = boot_time();
+    // An instance uses its list for as long as it may check keys with its
+    // configuration.
+    return m_state.m_software.sole_version(
+        service,
+        now - lifetime_in_timeouts * timeout -
+            m_state.m_settings.m_key_validity,
+        now);
+}
+
+void stream_directory::note_begun(serving::stream_origin origin,
+                                  std::chrono::milliseconds timeout)
+{
+    time_point const now = boot_time();
+    origin.m_lifetime = lifetime_in_timeouts * timeout;
+    m_known.add(origin, now);
+    while (!m_own.empty() &&
+           (m_own.front().first <= now || m_own.size() >= max_streams))
+    {
+        m_own.pop_front();
+    }
+    m_own.emplace_back(now + origin.m_lifetime, origin);
+    if (sole_version(origin.m_service, timeout))
+    {
+        m_uniform[origin.m_service] = timeout;
+        return;
+    }
+    m_uniform.erase(origin.m_service);
+    send_to_keepers({origin});
+}
+
+void stream_directory::on_upstreams()
+{
+    time_point const now = boot_time();
+    std::vector<serving::stream_origin> unsent;
+    for (auto item = m_uniform.begin(); item != m_uniform.end();)
+    {
+        auto const [service, timeout] = *item;
+        if (sole_version(service, timeout))
+        {
+            ++item;
+            continue;
+        }
+        item = m_uniform.erase(item);
+        for (auto const& [expires_at, origin] : m_own)
+        {
+            if (origin.m_service == service && expires_at > now)
+            {
+                unsent.push_back(origin);
+                unsent.back().m_lifetime =
+                    std::chrono::ceil<std::chrono::milliseconds>(expires_at -
+                                                                 now);
+            }
+        }
+    }
+    if (!unsent.empty())
+    {
+        send_to_keepers(unsent);
+    }
+}
+
+void stream_directory::send_to_keepers(
+    std::vector<serving::stream_origin> const& origins)
+{
+    std::map<std::string, peer::stream_records> messages; // by address
+    for (serving::stream_origin const& origin : origins)
+    {
+        for (serving::member const& keeper : m_state.m_roster.record_keepers(
+                 origin.m_stream, keepers, boot_time()))
+        {
+            messages[keeper.m_address].m_origins.push_back(origin);
+        }
+    }
+    for (auto& [address, records] : messages)
+    {
+        m_state.m_metrics.count("daisylead_stream_origins_sent_total", {},
+                                records.m_origins.size());
+        call_keeper(address, std::move(records), max_calls, [](auto const&) {});
+    }
+}
+
+void stream_directory::call_keeper(std::string const& address,
+                                   peer::stream_records const& records,
+                                   int calls, reply_hook const& on_reply)
+{
+    m_exchange.call(
+        address, records,
+        [this, address, records, calls,
+         on_reply](std::optional<peer::message_body> const& reply)
+        {
+            if (!reply && calls > 1)
+            {
+                call_keeper(address, records, calls - 1, on_reply);
+                return;
+            }
+            auto const* const known =
+                reply ? std::get_if<peer::stream_records>(&*reply) : nullptr;
+            on_reply(known == nullptr ? peer::stream_records() : *known);
+        });
+}
+
+peer::message_body stream_directory::on_message(peer::message_body const& body)
+{
+    auto const* const records = std::get_if<peer::stream_records>(&body);
+    if (records == nullptr)
+    {
+        return peer::none{};
+    }
+    time_point const now = boot_time();
+    for (serving::stream_origin const& origin : records->m_origins)
+    {
+        m_known.add(origin, now);
+    }
+    peer::stream_records reply;
+    for (std::string const& stream : records->m_asked)
+    {
+        if (auto origin = m_known.find(stream, now))
+        {
+            reply.m_origins.push_back(std::move(*origin));
+        }
+    }
+    return reply;
+}
+
+awaitable<std::optional<serving::stream_origin>>
+stream_directory::ask_peers(std::string stream)
+{
+    struct answers
+    {
+        explicit answers(boost::asio::any_io_executor const& executor)
+            : m_timer(executor, ask_timeout)
+        {
+        }
+
+        boost::asio::steady_timer m_timer; ///< cancelled when all is known
+        std::size_t m_open = 0;
+        std::optional<serving::stream_origin> m_origin;
+    };
+    auto const result = std::make_shared<answers>(m_executor);
+    for (serving::member const& keeper :
+         m_state.m_roster.record_keepers(stream, asked_keepers, boot_time()))
+    {
+        ++result->m_open;
+        call_keeper(keeper.m_address, peer::stream_records{{}, {stream}},
+                    max_calls,
+                    [result](peer::stream_records const& records)
+                    {
+                        --result->m_open;
+                        if (!records.m_origins.empty())
+                        {
+                            result->m_origin = records.m_origins.front();
+                        }
+                        if (result->m_origin || result->m_open == 0)
+                        {
+                            result->m_timer.cancel();
+                        }
+                    });
+    }
+    if (result->m_open > 0)
+    {
+        boost::system::error_code ignored;
+        co_await result->m_timer.async_wait(
+            boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+    }
+    co_return result->m_origin;
+}
+
+bool stream_directory::is_contradicted(
+    serving::stream_origin const& origin) const
+{
+    // The upstream may have left since. Another process under its id may have
+    // begun the stream before its row was read.
+    serving::upstream_record const* const listed =
+        m_state.m_upstream_pool.find(origin.m_upstream);
+    return listed != nullptr && (listed->m_started != origin.m_started ||
+                                 listed->m_software != origin.m_software);
+}
+
+awaitable<bool> stream_directory::confirm(serving::stream_origin origin)
+{
+    co_await m_confirm(boot_time());
+    co_return !is_contradicted(origin);
+}
+
+awaitable<std::optional<stream_directory::requirement>>
+stream_directory::find(std::string stream, service_id service,
+                       std::chrono::milliseconds timeout)
+{
+    bool const confirmed = co_await m_confirm(boot_time());
+    std::optional<serving::stream_origin> origin =
+        m_known.find(stream, boot_time());
+    std::string source = "known";
+    if (!origin)
+    {
+        // Any instance may have begun the stream, with a list that was read
+        // before it was resumed.
+        auto const sole = confirmed ? sole_version(service, timeout)
+                                    : std::optional<software_version>();
+        if (sole)
+        {
+            co_return requirement{service, *sole, "only version"};
+        }
+        if (!stream.empty())
+        {
+            origin = co_await ask_peers(stream);
+            source = "peer";
+        }
+    }
+    if (!origin || is_contradicted(*origin))
+    {
+        telemetry::log(severity::info, "stream_origin_unknown",
+                       {{"stream", stream},
+                        {"service", service.value()},
+                        {"confirmed", confirmed},
+                        {"contradicted", origin.has_value()}});
+        co_return std::nullopt;
+    }
+    co_return requirement{origin->m_service, origin->m_software, source};
+}
+
+} // namespace daisylead::entry
--- a/src/peer/codec.cpp
+++ b/src/peer/codec.cpp
@@ -456,6 +456,44 @@
     }
 }
 
+void encode_software(serving::software_news const& news,
+                     wire::SoftwareReport::Builder target)
+{
+    target.setSinceAgeMs(news.m_since_age_ms);
+    target.setUntilAgeMs(news.m_until_age_ms);
+    auto uses = target.initUses(size_of(news.m_uses));
+    for (unsigned i = 0; i < size_of(news.m_uses); ++i)
+    {
+        uses[i].setService(to_text(news.m_uses[i].m_service.value()));
+        uses[i].setSoftware(to_text(news.m_uses[i].m_software.value()));
+        uses[i].setLastUsedAgeMs(news.m_uses[i].m_last_used_age_ms);
+    }
+}
+
+void encode_body(stream_records const& body, builder target)
+{
+    auto records = target.initStreamRecords();
+    auto origins = records.initOrigins(size_of(body.m_origins));
+    for (unsigned i = 0; i < size_of(body.m_origins); ++i)
+    {
+        serving::stream_origin const& origin = body.m_origins[i];
+        origins[i].setStream(to_text(origin.m_stream));
+        origins[i].setService(to_text(origin.m_service.value()));
+        origins[i].setUpstream(to_text(origin.m_upstream.value()));
+        origins[i].setStarted(origin.m_started);
+        origins[i].setSoftware(to_text(origin.m_software.value()));
+        origins[i].setLifetimeMs(
+            static_cast<std::uint32_t>(std::clamp<std::int64_t>(
+                origin.m_lifetime.count(), 0,
+                std::numeric_limits<std::uint32_t>::max())));
+    }
+    auto asked = records.initAsked(size_of(body.m_asked));
+    for (unsigned i = 0; i < size_of(body.m_asked); ++i)
+    {
+        asked.set(i, to_text(body.m_asked[i]));
+    }
+}
+
 void encode_body(serving::fleet_news const& body, builder target)
 {
     auto item = target.initFleetNews();
@@ -509,6 +547,10 @@
         named[i].setVersion(body.m_named[i].m_version);
         named[i].setAgeMs(body.m_named[i].m_age_ms);
     }
+    if (body.m_software)
+    {
+        encode_software(*body.m_software, item.initSoftware());
+    }
     auto saved = item.initSaved(size_of(body.m_saved));
     for (unsigned i = 0; i < size_of(body.m_saved); ++i)
     {
@@ -742,6 +784,36 @@
     return load;
 }
 
+serving::software_news decode_software(wire::SoftwareReport::Reader source)
+{
+    serving::software_news news;
+    news.m_since_age_ms = source.getSinceAgeMs();
+    news.m_until_age_ms = source.getUntilAgeMs();
+    for (auto const use : source.getUses())
+    {
+        news.m_uses.push_back({service_id(from_text(use.getService())),
+                               software_version(from_text(use.getSoftware())),
+                               use.getLastUsedAgeMs()});
+    }
+    return news;
+}
+
+stream_records decode_stream_records(wire::StreamRecords::Reader source)
+{
+    stream_records body;
+    for (auto const item : source.getOrigins())
+    {
+        body.m_origins.push_back(
+            {from_text(item.getStream()),
+             service_id(from_text(item.getService())),
+             upstream_id(from_text(item.getUpstream())), item.getStarted(),
+             software_version(from_text(item.getSoftware())),
+             std::chrono::milliseconds(item.getLifetimeMs())});
+    }
+    body.m_asked = decode_texts(source.getAsked());
+    return body;
+}
+
 serving::upstream_changes decode_changes(wire::UpstreamChanges::Reader source)
 {
     serving::upstream_changes changes;
@@ -829,6 +901,10 @@
         body.m_named.push_back({model_id(from_text(entry.getModel())),
                                 entry.getVersion(), entry.getAgeMs()});
     }
+    if (item.hasSoftware())
+    {
+        body.m_software = decode_software(item.getSoftware());
+    }
     for (std::uint64_t const prefix : item.getSaved())
     {
         body.m_saved.push_back(prefix);
@@ -877,6 +953,8 @@
             source.getUpstreamNews().getLeaving()};
     case wire::Message::FLEET_NEWS:
         return decode_fleet_news(source);
+    case wire::Message::STREAM_RECORDS:
+        return decode_stream_records(source.getStreamRecords());
     }
     return none{};
 }
--- a/src/peer/peer.capnp
+++ b/src/peer/peer.capnp
@@ -29,6 +29,7 @@
     claimStatus @14 :Bool;
     upstreamNews @15 :UpstreamNews;
     fleetNews @16 :FleetNews;
+    streamRecords @17 :StreamRecords;
   }
 }
 
@@ -126,6 +127,33 @@
   leaving @1 :Bool;
 }
 
+struct StreamOrigin {
+  stream @0 :Text;
+  service @1 :Text;
+  upstream @2 :Text;
+  started @3 :Int64;
+  software @4 :Text;
+  lifetimeMs @5 :UInt32;
+}
+
+struct StreamRecords {
+  origins @0 :List(StreamOrigin);
+  asked @1 :List(Text);
+}
+
+struct SoftwareUse {
+  service @0 :Text;
+  software @1 :Text;
+  lastUsedAgeMs @2 :Int64;
+}
+
+# Ages at the time of sending. A negative first one says that nothing is known.
+struct SoftwareReport {
+  sinceAgeMs @0 :Int64 = -1;
+  untilAgeMs @1 :Int64;
+  uses @2 :List(SoftwareUse);
+}
+
 struct Member {
   id @0 :Text;
   address @1 :Text;
@@ -250,4 +278,5 @@
   blockedParts @29 :List(BlockedPart);
   blockedDigest @30 :UInt64;
   knowsBlockedParts @31 :Bool;
+  software @32 :SoftwareReport;
 }
--- a/src/serving/fleet_roster.cpp
+++ b/src/serving/fleet_roster.cpp
@@ -589,6 +589,49 @@
     return group;
 }
 
+std::vector<member> fleet_roster::record_keepers(std::string const& key,
+                                                 std::size_t count,
+                                                 time_point now) const
+{
+    std::uint64_t const seed = XXH64(key.data(), key.size(), 0);
+    std::vector<std::pair<std::uint64_t, member const*>> ranked;
+    for (auto const& [zone, order] : zone_rankings())
+    {
+        std::vector<instance_id> const& candidates =
+            is_mesh() ? order : designated_relays(order, now);
+        for (instance_id const& id : candidates)
+        {
+            peer_state const* const peer =
+                id == m_self.m_id ? nullptr : &m_peers.at(id);
+            // Children are in contact with their own relay only.
+            bool const is_known =
+                peer == nullptr ||
+                (!peer->m_leaving && (peer->m_last_contact || !is_mesh()));
+            if (is_known)
+            {
+                ranked.emplace_back(hash_of(id, seed), peer == nullptr
+                                                           ? &m_self
+                                                           : &peer->m_member);
+            }
+        }
+    }
+    std::sort(ranked.begin(), ranked.end(),
+              [](auto const& a, auto const& b) { return a.first > b.first; });
+    std::set<zone_id> zones;
+    std::vector<member> keepers;
+    std::vector<member> others; // in the zone of a better one
+    for (auto const& [weight, item] : ranked)
+    {
+        (zones.insert(item->m_zone).second ? keepers : others).push_back(*item);
+    }
+    keepers.insert(keepers.end(), others.begin(), others.end());
+    // This instance takes its place in the order, as the others see it there.
+    std::erase_if(keepers, [this](member const& item)
+                  { return item.m_id == m_self.m_id; });
+    keepers.resize(std::min(keepers.size(), count));
+    return keepers;
+}
+
 std::vector<member> fleet_roster::members_for_peers(time_point now) const
 {
     std::vector<member> members;
--- a/src/serving/upstream_pool.cpp
+++ b/src/serving/upstream_pool.cpp
@@ -394,7 +394,9 @@
     for (upstream_id const& id : ids->second)
     {
         entry& item = m_entries.at(id);
-        if (item.m_record.m_leaving || request.m_excluded.contains(id))
+        bool const fits = !request.m_software ||
+                          item.m_record.m_software == *request.m_software;
+        if (item.m_record.m_leaving || request.m_excluded.contains(id) || !fits)
         {
             continue;
         }
--- a/tests/peer/transport_test.cpp
+++ b/tests/peer/transport_test.cpp
@@ -94,6 +94,39 @@
           software_version("v2"));
 }
 
+TEST_CASE("encoding keeps the origins of streams and the versions in use")
+{
+    peer::stream_records records;
+    records.m_origins = {{"a1", service_id("s"), upstream_id("u"), 7,
+                          software_version("v2"),
+                          std::chrono::milliseconds(4200)}};
+    records.m_asked = {"a2", "a3"};
+    capnp::MallocMessageBuilder builder;
+    auto target = builder.initRoot<peer::wire::Message>();
+    peer::encode({instance_id("entry-1"), incarnation(42), records}, target);
+    peer::message const decoded = peer::decode(target.asReader());
+    auto const& body = std::get<peer::stream_records>(decoded.m_body);
+    CHECK(body.m_origins == records.m_origins);
+    CHECK(body.m_asked == records.m_asked);
+
+    serving::fleet_news news;
+    news.m_software = serving::software_news{
+        9000, 300, {{service_id("s"), software_version("v1"), 250}}};
+    capnp::MallocMessageBuilder second;
+    auto news_target = second.initRoot<peer::wire::Message>();
+    peer::encode({instance_id("entry-1"), incarnation(42), news}, news_target);
+    peer::message const decoded_news = peer::decode(news_target.asReader());
+    auto const& software =
+        std::get<serving::fleet_news>(decoded_news.m_body).m_software;
+    REQUIRE(software);
+    CHECK(software->m_since_age_ms == 9000);
+    CHECK(software->m_until_age_ms == 300);
+    REQUIRE(software->m_uses.size() == 1);
+    CHECK(software->m_uses.front().m_service == service_id("s"));
+    CHECK(software->m_uses.front().m_software == software_version("v1"));
+    CHECK(software->m_uses.front().m_last_used_age_ms == 250);
+}
+
 TEST_CASE("encoding keeps crashes, answered parts and blocked parts")
 {
     serving::fleet_news news;
