Fix: [Entry] an instance that reached no upstream refused all requests

Cause: an instance knew only its own connections to an upstream, and took each failure for one of the upstream. Evidence: attempts at 18 of 18 upstreams end unreachable within 1 ms, only at the instances that are cut off.

Change: path_monitor tells a cut path from upstreams that are down. While it is cut, connections go through tunnels of peers that reach the service; the instance that has the request still decides all about it. Crashes are not reported while another upstream fails as well. New setting [listen] tunnel.

Ruled out: backoffs (attempts are made and fail) and full upstreams (other instances are not refused).

--- a/include/daisylead/config/entry_settings_type.hpp
+++ b/include/daisylead/config/entry_settings_type.hpp
@@ -15,14 +15,16 @@
 {
     using milliseconds = std::chrono::milliseconds;
 
-    instance_id m_instance;              ///< [instance] id
-    zone_id m_zone;                      ///< [instance] zone
-    region_id m_region;                  ///< [instance] region
-    double m_size = 1;                   ///< [instance] size, cores
-    std::string m_caller_address;        ///< [listen] caller, "IP:port"
-    std::string m_readiness_address;     ///< [listen] readiness, "IP:port"
-    std::string m_peer_address;          ///< [listen] peer, "IP:port"
-    std::string m_metrics_address;       ///< [listen] metrics, "IP:port"
+    instance_id m_instance;          ///< [instance] id
+    zone_id m_zone;                  ///< [instance] zone
+    region_id m_region;              ///< [instance] region
+    double m_size = 1;               ///< [instance] size, cores
+    std::string m_caller_address;    ///< [listen] caller, "IP:port"
+    std::string m_readiness_address; ///< [listen] readiness, "IP:port"
+    std::string m_peer_address;      ///< [listen] peer, "IP:port"
+    std::string m_metrics_address;   ///< [listen] metrics, "IP:port"
+    /** [listen] tunnel, "IP:port"; empty: opens no tunnels for peers. */
+    std::string m_tunnel_address;
     std::string m_store_address;         ///< [store] address, "IP:port"
     milliseconds m_store_timeout{400};   ///< [store] timeout_ms
     milliseconds m_read_interval{450};   ///< [store] read_interval_ms
--- a/include/daisylead/serving/fleet_news_type.hpp
+++ b/include/daisylead/serving/fleet_news_type.hpp
@@ -23,6 +23,8 @@
     std::int64_t m_started = 0;
     zone_id m_zone;          ///< availability zone
     std::int64_t m_size = 0; ///< CPU share, thousandths of a core
+    /** "IP:port" where it opens tunnels to upstreams; empty: it does not. */
+    std::string m_tunnel_address{};
 };
 
 /** A document as read from the store; each instance parses it itself. */
@@ -132,6 +134,9 @@
     bool m_is_relay = false;      ///< the sender is a relay
     std::int64_t m_group = 1;     ///< instances in its group
     std::int64_t m_fleet = 0;     ///< live instances, as known to the sender
+    /** Services whose upstreams the sender cannot reach, though its peers may
+     *  reach them. */
+    std::vector<service_id> m_cut_services;
     /** Digest of the live relays, as known to the sender. */
     std::uint64_t m_relays_digest = 0;
     document_state m_rules;     ///< configuration
--- a/include/daisylead/serving/fleet_roster_base.hpp
+++ b/include/daisylead/serving/fleet_roster_base.hpp
@@ -83,6 +83,8 @@
     std::uint64_t m_weights_token = 0;  ///< its fencing token, see fleet_news
     std::uint64_t m_weights_number = 0; ///< see fleet_news
     std::uint64_t m_blocked_digest = 0; ///< see fleet_news
+    /** Services that it cannot reach itself. */
+    std::vector<service_id> m_cut_services;
     news_outbox m_outbox;
 };
 
@@ -207,6 +209,10 @@
     std::vector<member> record_keepers(std::string const& key,
                                        std::size_t count, time_point now) const;
 
+    /** @return peers that may open tunnels to upstreams of the service. */
+    std::vector<member> tunnel_peers(service_id const& service,
+                                     time_point now) const;
+
     /** @return the member list to send to peers. */
     std::vector<member> members_for_peers(time_point now) const;
 
--- a/include/daisylead/serving/upstream_pool_base.hpp
+++ b/include/daisylead/serving/upstream_pool_base.hpp
@@ -212,6 +212,10 @@
      *  extends the backoff. */
     void note_unreachable(upstream_id const& id, time_point now);
 
+    /** Ends the backoffs of a service's upstreams, as another way to them is
+     *  used from now on. */
+    void forget_failures(service_id const& service);
+
     /** Records a response. */
     void note_reachable(upstream_id const& id);
 
@@ -280,6 +284,13 @@
     /** @return the record, or null. */
     upstream_record const* find(upstream_id const& id) const;
 
+    /** @return whether it rejects requests of this instance now, as it
+     *          said. */
+    bool is_rejecting(upstream_id const& id, time_point now) const;
+
+    /** @return number of listed upstreams of a service. */
+    std::size_t size(service_id const& service) const;
+
     /** @return used fraction of all slots of the service. */
     double load(service_id const& service) const;
 
--- a/src/config/entry_settings.cpp
+++ b/src/config/entry_settings.cpp
@@ -62,6 +62,12 @@
         m_result.m_readiness_address = read("readiness");
         m_result.m_peer_address = read("peer");
         m_result.m_metrics_address = read("metrics");
+        // Where the platform names no port for it, none follows the address.
+        auto const tunnel = reader.text("tunnel");
+        if (tunnel && !tunnel->m_text.ends_with(':'))
+        {
+            m_result.m_tunnel_address = read("tunnel");
+        }
         reader.finish();
     }
 
--- a/src/config/rendered_settings.cpp
+++ b/src/config/rendered_settings.cpp
@@ -61,12 +61,13 @@
 };
 
 constexpr std::array known_keys{
-    known_key{"instance", "id"},        known_key{"instance", "zone"},
-    known_key{"instance", "region"},    known_key{"instance", "size"},
-    known_key{"listen", "caller"},      known_key{"listen", "readiness"},
-    known_key{"listen", "peer"},        known_key{"listen", "metrics"},
-    known_key{"store", "address"},      known_key{"peers", "seeds"},
-    known_key{"bounds", "retry_ratio"}, known_key{"log", "level"}};
+    known_key{"instance", "id"},     known_key{"instance", "zone"},
+    known_key{"instance", "region"}, known_key{"instance", "size"},
+    known_key{"listen", "caller"},   known_key{"listen", "readiness"},
+    known_key{"listen", "peer"},     known_key{"listen", "metrics"},
+    known_key{"listen", "tunnel"},   known_key{"store", "address"},
+    known_key{"peers", "seeds"},     known_key{"bounds", "retry_ratio"},
+    known_key{"log", "level"}};
 
 std::optional<double> number_of(toml::node const& node)
 {
--- a/src/entry/caller_server.cpp
+++ b/src/entry/caller_server.cpp
@@ -114,10 +114,11 @@
 
 caller_server::caller_server(asio::any_io_executor const& executor,
                              std::string const& address, fleet_state& state,
-                             connection_pool& pool, silence_detector& silence,
-                             crash_detector& crashes, stream_directory& streams)
+                             upstream_connector& connector,
+                             silence_detector& silence, crash_detector& crashes,
+                             stream_directory& streams)
     : m_executor(executor), m_acceptor(make_acceptor(executor, address)),
-      m_state(state), m_pool(pool), m_silence_detector(silence),
+      m_state(state), m_connector(connector), m_silence_detector(silence),
       m_crash_detector(crashes), m_streams(streams)
 {
 }
@@ -232,7 +233,7 @@
             co_await reject(caller, 503, "this instance shuts down");
             break;
         }
-        request_runner runner(m_state, m_pool, m_silence_detector,
+        request_runner runner(m_state, m_connector, m_silence_detector,
                               m_crash_detector, m_streams, caller,
                               parser.release());
         open = co_await runner.run();
--- a/src/entry/caller_server.hpp
+++ b/src/entry/caller_server.hpp
@@ -15,7 +15,7 @@
     /** @throws daisylead::error if the address cannot be used */
     caller_server(asio::any_io_executor const& executor,
                   std::string const& address, fleet_state& state,
-                  connection_pool& pool, silence_detector& silence,
+                  upstream_connector& connector, silence_detector& silence,
                   crash_detector& crashes, stream_directory& streams);
 
     /** Starts to accept. */
@@ -34,7 +34,7 @@
     asio::any_io_executor m_executor;
     asio::ip::tcp::acceptor m_acceptor;
     fleet_state& m_state;
-    connection_pool& m_pool;
+    upstream_connector& m_connector;
     silence_detector& m_silence_detector;
     crash_detector& m_crash_detector;
     stream_directory& m_streams;
--- a/src/entry/crash_detector.cpp
+++ b/src/entry/crash_detector.cpp
@@ -1,7 +1,6 @@
 /** @file Detection of upstreams that crashed. */
 #include "crash_detector.hpp"
 
-#include "http_connection.hpp"
 #include "keep_running_func.hpp"
 
 namespace daisylead::entry
@@ -18,8 +17,9 @@
 } // namespace
 
 crash_detector::crash_detector(boost::asio::any_io_executor executor,
-                               fleet_state& state)
-    : m_executor(std::move(executor)), m_state(state)
+                               fleet_state& state,
+                               upstream_connector& connector)
+    : m_executor(std::move(executor)), m_state(state), m_connector(connector)
 {
 }
 
@@ -34,10 +34,7 @@
 
 awaitable<void> crash_detector::probe(serving::upstream_record upstream)
 {
-    auto const connection =
-        std::make_shared<http_connection>(m_executor, upstream.m_address);
-    bool const reached = co_await connection->connect(probe_timeout);
-    connection->abort();
+    bool const reached = co_await m_connector.reaches(upstream, probe_timeout);
     m_in_progress.erase(upstream.m_id);
     request::upstream_incarnation const run{upstream.m_id,
                                             incarnation(upstream.m_started)};
--- a/src/entry/crash_detector.hpp
+++ b/src/entry/crash_detector.hpp
@@ -1,7 +1,7 @@
 /** @file Detection of upstreams that crashed. */
 #pragma once
 
-#include "fleet_state.hpp"
+#include "upstream_connector.hpp"
 
 #include <set>
 
@@ -13,7 +13,8 @@
 class crash_detector
 {
 public:
-    crash_detector(boost::asio::any_io_executor executor, fleet_state& state);
+    crash_detector(boost::asio::any_io_executor executor, fleet_state& state,
+                   upstream_connector& connector);
 
     /** Starts a check, unless one of this upstream is in progress. */
     void check(serving::upstream_record const& upstream);
@@ -23,6 +24,7 @@
 
     boost::asio::any_io_executor m_executor;
     fleet_state& m_state;
+    upstream_connector& m_connector;
     std::set<upstream_id> m_in_progress;
 };
 
--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -6,6 +6,7 @@
 #include "pause_func.hpp"
 #include "rollout_controller.hpp"
 #include "store_poller.hpp"
+#include "tunnel_server.hpp"
 
 #include <daisylead/telemetry/log_func.hpp>
 
@@ -63,9 +64,9 @@
           m_signals(context),
           m_state(settings, m_adapter, m_metrics, context.get_executor(),
                   unix_milliseconds()),
-          m_pool(context.get_executor()),
-          m_silence_detector(context.get_executor(), m_state),
-          m_crash_detector(context.get_executor(), m_state),
+          m_connector(context.get_executor(), m_state),
+          m_silence_detector(context.get_executor(), m_state, m_connector),
+          m_crash_detector(context.get_executor(), m_state, m_connector),
           m_exchange(context.get_executor(), m_state, make_transport),
           m_store_poller(context.get_executor(), m_state, m_exchange),
           m_rollout(context.get_executor(), m_state, m_exchange),
@@ -73,8 +74,8 @@
                     [this](time_point after)
                     { return m_store_poller.confirm_upstreams(after); }),
           m_caller_server(context.get_executor(), settings.m_caller_address,
-                          m_state, m_pool, m_silence_detector, m_crash_detector,
-                          m_streams),
+                          m_state, m_connector, m_silence_detector,
+                          m_crash_detector, m_streams),
           m_readiness_server(
               context.get_executor(), settings.m_readiness_address,
               [this](std::string const& path) { return readiness(path); }),
@@ -101,6 +102,12 @@
         m_readiness_server.start();
         m_metrics_server.start();
         m_caller_server.start();
+        if (!m_settings.m_tunnel_address.empty())
+        {
+            m_tunnel_server.emplace(m_context.get_executor(),
+                                    m_settings.m_tunnel_address, m_state);
+            m_tunnel_server->start();
+        }
         auto const executor = m_context.get_executor();
         keep_running(executor, "signals", [this] { return signal_loop(); });
         keep_running(executor, "settings", [this] { return settings_loop(); });
@@ -195,7 +202,9 @@
         for (;;)
         {
             duration const since = boot_time() - began;
-            bool const idle = *m_state.m_active_requests == 0;
+            bool const idle =
+                *m_state.m_active_requests == 0 &&
+                (!m_tunnel_server || m_tunnel_server->open_tunnels() == 0);
             if (since > close_idle_after && !closed)
             {
                 closed = true;
@@ -255,7 +264,7 @@
     asio::signal_set m_signals;
     telemetry::metrics m_metrics;
     fleet_state m_state;
-    connection_pool m_pool;
+    upstream_connector m_connector;
     silence_detector m_silence_detector;
     crash_detector m_crash_detector;
     fleet_exchange m_exchange;
@@ -265,6 +274,7 @@
     caller_server m_caller_server;
     text_server m_readiness_server;
     text_server m_metrics_server;
+    std::optional<tunnel_server> m_tunnel_server;
     bool m_was_ready = false;
 };
 
--- a/src/entry/fleet_exchange.cpp
+++ b/src/entry/fleet_exchange.cpp
@@ -125,6 +125,7 @@
     news.m_group = m_state.m_roster.group_size(now);
     news.m_fleet = m_state.m_roster.fleet_size(now);
     news.m_relays_digest = m_state.m_roster.relays_digest(now);
+    news.m_cut_services = m_state.cut_services();
     news.m_rules = make_document_state(m_state.m_rules.m_revision,
                                        m_state.m_rules.m_content_order,
                                        m_state.m_rules_freshness.age(now));
--- a/src/entry/fleet_state.cpp
+++ b/src/entry/fleet_state.cpp
@@ -81,9 +81,12 @@
 serving::member self_as_member(config::entry_settings const& settings,
                                std::int64_t started)
 {
-    return {settings.m_instance, settings.m_peer_address, started,
+    return {settings.m_instance,
+            settings.m_peer_address,
+            started,
             settings.m_zone,
-            static_cast<std::int64_t>(std::lround(settings.m_size * 1000))};
+            static_cast<std::int64_t>(std::lround(settings.m_size * 1000)),
+            settings.m_tunnel_address};
 }
 
 /** Bits of a content order that hold the sum of the weights versions. */
@@ -646,6 +649,60 @@
     }
 }
 
+void fleet_state::note_direct_connect(serving::upstream_record const& upstream,
+                                      bool connected)
+{
+    service_id const& service = upstream.m_service;
+    auto const path =
+        m_paths.try_emplace(service, serving::path_monitor_options()).first;
+    if (!path->second.note_connect(upstream.m_id, connected,
+                                   m_upstream_pool.size(service), boot_time()))
+    {
+        return;
+    }
+    bool const cut = path->second.is_cut();
+    // Upstreams that could not be reached were not at fault.
+    m_upstream_pool.forget_failures(service);
+    m_metrics.count("daisylead_path_changes_total",
+                    {{"cut", cut ? "yes" : "no"}});
+    telemetry::log(cut ? severity::warning : severity::info,
+                   cut ? "path_cut" : "path_restored",
+                   {{"service", service.value()},
+                    {"upstream", upstream.m_id.value()},
+                    {"listed", m_upstream_pool.size(service)}});
+    m_roster.mark_urgent({}, boot_time());
+    if (m_on_urgent_news)
+    {
+        m_on_urgent_news();
+    }
+}
+
+bool fleet_state::is_cut_from(service_id const& service) const
+{
+    auto const path = m_paths.find(service);
+    return path != m_paths.end() && path->second.is_cut();
+}
+
+std::vector<service_id> fleet_state::cut_services() const
+{
+    std::vector<service_id> services;
+    for (auto const& [service, path] : m_paths)
+    {
+        if (path.is_cut())
+        {
+            services.push_back(service);
+        }
+    }
+    return services;
+}
+
+bool fleet_state::is_path_suspect(serving::upstream_record const& upstream,
+                                  time_point now) const
+{
+    auto const path = m_paths.find(upstream.m_service);
+    return path != m_paths.end() && path->second.is_suspect(upstream.m_id, now);
+}
+
 void fleet_state::note_crash(request::upstream_incarnation const& crash)
 {
     std::vector<request::quarantine_update> news =
--- a/src/entry/fleet_state.hpp
+++ b/src/entry/fleet_state.hpp
@@ -8,6 +8,7 @@
 #include <daisylead/serving/catalog_index_base.hpp>
 #include <daisylead/serving/fleet_roster_base.hpp>
 #include <daisylead/serving/freshness_base.hpp>
+#include <daisylead/serving/path_monitor_base.hpp>
 #include <daisylead/serving/retry_throttle_base.hpp>
 #include <daisylead/serving/software_history_base.hpp>
 #include <daisylead/serving/upstream_list_base.hpp>
@@ -125,6 +126,20 @@
     void apply_rates(serving::load_news const& news, instance_id const& from,
                      bool from_relay, std::optional<time_point> sent_at);
 
+    /** Records the end of an attempt to connect directly to an upstream. */
+    void note_direct_connect(serving::upstream_record const& upstream,
+                             bool connected);
+
+    /** @return whether the path from this instance to the service is cut. */
+    bool is_cut_from(service_id const& service) const;
+
+    /** @return services whose path is cut. */
+    std::vector<service_id> cut_services() const;
+
+    /** @return whether a failure to connect may be one of the path. */
+    bool is_path_suspect(serving::upstream_record const& upstream,
+                         time_point now) const;
+
     /** Records that an upstream refuses connections, so that its attempts that
      *  broke off count as crashes. */
     void note_crash(request::upstream_incarnation const& crash);
@@ -230,6 +245,7 @@
     std::map<upstream_id, serving::numbered_weights> m_weights;
     /** Prefixes saved to the KV cache store, with the time of the save. */
     request::lru_map<std::uint64_t, time_point> m_saved;
+    std::map<service_id, serving::path_monitor> m_paths;
     double rate_share(upstream_id const& id, double per_second,
                       time_point now) const;
     void keep_newer_weights(serving::catalog& catalog) const;
--- a/src/entry/http_caller.cpp
+++ b/src/entry/http_caller.cpp
@@ -24,8 +24,10 @@
     awaitable<std::optional<http_answer>> call(http_call request)
     {
         ++m_calls;
-        auto connection = co_await m_pool.get(
-            request.m_address, request.m_timeout, request.m_fresh);
+        http_route const way{request.m_address, "", {}};
+        auto const made =
+            co_await m_pool.get(way, request.m_timeout, request.m_fresh);
+        std::shared_ptr<http_connection> connection = made.m_connection;
         if (!connection)
         {
             co_return std::nullopt;
--- a/src/entry/http_connection.cpp
+++ b/src/entry/http_connection.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
@@ -41,6 +42,9 @@
 /** Interval of removing expired idle connections. */
 constexpr std::chrono::milliseconds sweep_interval = 1s;
 
+/** Time for which a tunnel is kept: peers have few of them. */
+constexpr std::chrono::milliseconds tunnel_keep_alive = 700ms;
+
 /** Maximum number of idle connections per address. */
 constexpr std::size_t max_idle_per_address = 16;
 
@@ -78,18 +82,22 @@
     return asio::ip::tcp::endpoint(ip, static_cast<std::uint16_t>(port));
 }
 
-http_connection::http_connection(asio::any_io_executor executor,
-                                 std::string address)
-    : m_stream(executor), m_address(std::move(address))
+http_connection::http_connection(asio::any_io_executor executor, http_route way)
+    : m_stream(executor), m_way(std::move(way))
 {
 }
 
-awaitable<bool> http_connection::connect(std::chrono::milliseconds timeout)
+awaitable<connect_result>
+http_connection::connect(std::chrono::milliseconds timeout)
 {
-    auto const endpoint = parse_endpoint(m_address);
+    bool const direct = m_way.m_tunnel.empty();
+    connect_result const failed =
+        direct ? connect_result::no_upstream : connect_result::no_tunnel;
+    auto const endpoint =
+        parse_endpoint(direct ? m_way.m_address : m_way.m_tunnel);
     if (!endpoint)
     {
-        co_return false;
+        co_return failed;
     }
     beast::error_code failure;
     m_stream.expires_after(timeout);
@@ -97,10 +105,41 @@
         *endpoint, asio::redirect_error(asio::use_awaitable, failure));
     if (failure)
     {
-        co_return false;
+        co_return failed;
     }
     m_stream.socket().set_option(asio::ip::tcp::no_delay(true), failure);
-    co_return true;
+    if (direct)
+    {
+        co_return connect_result::connected;
+    }
+    co_return co_await open_tunnel();
+}
+
+awaitable<connect_result> http_connection::open_tunnel()
+{
+    http::request<http::empty_body> request(http::verb::connect,
+                                            m_way.m_upstream.value(), 11);
+    request.set(http::field::host, m_way.m_upstream.value());
+    beast::error_code failure;
+    co_await http::async_write(
+        m_stream, request, asio::redirect_error(asio::use_awaitable, failure));
+    http::response_parser<http::empty_body> answer;
+    answer.header_limit(max_header_size);
+    answer.skip(true);
+    if (!failure)
+    {
+        co_await http::async_read_header(
+            m_stream, m_buffer, answer,
+            asio::redirect_error(asio::use_awaitable, failure));
+    }
+    if (failure)
+    {
+        co_return connect_result::no_tunnel;
+    }
+    http::status const status = answer.get().result();
+    co_return status == http::status::ok  ? connect_result::connected
+    : status == http::status::bad_gateway ? connect_result::no_upstream
+                                          : connect_result::no_tunnel;
 }
 
 void http_connection::begin(http::request<http::string_body> request,
@@ -180,6 +219,12 @@
             co_return io_result::ok;
         }
     }
+    // The end of a tunnel does not show how the upstream's connection ended.
+    if (!m_way.m_tunnel.empty() && m_parser->need_eof())
+    {
+        m_broken = true;
+        co_return io_result::broken;
+    }
     co_return io_result::ok;
 }
 
@@ -255,39 +300,45 @@
 {
 }
 
-awaitable<std::shared_ptr<http_connection>>
-connection_pool::get(std::string const& address,
-                     std::chrono::milliseconds timeout, bool fresh)
+awaitable<connection_pool::result>
+connection_pool::get(http_route way, std::chrono::milliseconds timeout,
+                     bool fresh)
 {
     auto const now = std::chrono::steady_clock::now();
     drop_expired(now);
-    auto const idle = m_idle.find(address);
+    auto const idle = m_idle.find(way);
     while (!fresh && idle != m_idle.end() && !idle->second.empty())
     {
         idle_connection candidate = std::move(idle->second.back());
         idle->second.pop_back();
         if (candidate.m_expires_at > now && candidate.m_connection->is_idle())
         {
-            co_return candidate.m_connection;
+            co_return result{candidate.m_connection, connect_result::connected,
+                             false};
         }
     }
-    auto connection = std::make_shared<http_connection>(m_executor, address);
-    if (!co_await connection->connect(timeout))
+    auto connection =
+        std::make_shared<http_connection>(m_executor, std::move(way));
+    connect_result const connected = co_await connection->connect(timeout);
+    if (connected != connect_result::connected)
     {
-        co_return nullptr;
+        connection = nullptr;
     }
-    co_return connection;
+    co_return result{std::move(connection), connected, true};
 }
 
 void connection_pool::put(std::shared_ptr<http_connection> connection)
 {
-    auto const keep = connection->keep_alive_time();
+    auto const keep =
+        connection->way().m_tunnel.empty()
+            ? connection->keep_alive_time()
+            : std::min(connection->keep_alive_time(), tunnel_keep_alive);
     if (keep <= 0ms)
     {
         connection->abort();
         return;
     }
-    auto& list = m_idle[connection->address()];
+    auto& list = m_idle[connection->way()];
     if (list.size() >= max_idle_per_address)
     {
         list.pop_front();
--- a/src/entry/http_connection.hpp
+++ b/src/entry/http_connection.hpp
@@ -12,10 +12,10 @@
 
 #include <chrono>
 #include <list>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
-#include <unordered_map>
 
 namespace daisylead::entry
 {
@@ -32,6 +32,24 @@
     broken     ///< the connection was closed, or the answer is not valid HTTP
 };
 
+/** Result of a connect. */
+enum class connect_result
+{
+    connected,
+    no_upstream, ///< the upstream does not accept it
+    no_tunnel    ///< the peer opens no tunnel, or does not answer
+};
+
+/** Way to an upstream. */
+struct http_route
+{
+    std::string m_address;  ///< "IP:port" of the upstream
+    std::string m_tunnel;   ///< "IP:port" of a peer's tunnels; empty: direct
+    upstream_id m_upstream; ///< needed for a tunnel
+
+    auto operator<=>(http_route const&) const = default;
+};
+
 /** @return the endpoint of "IP:port", or nothing if it cannot be parsed. */
 std::optional<asio::ip::tcp::endpoint>
 parse_endpoint(std::string const& address);
@@ -42,10 +60,10 @@
 class http_connection : public std::enable_shared_from_this<http_connection>
 {
 public:
-    http_connection(asio::any_io_executor executor, std::string address);
+    http_connection(asio::any_io_executor executor, http_route way);
 
     /** @return whether the connection was established in time. */
-    awaitable<bool> connect(std::chrono::milliseconds timeout);
+    awaitable<connect_result> connect(std::chrono::milliseconds timeout);
 
     /** Starts a call.
      *  @param timeout for the whole call */
@@ -104,16 +122,17 @@
     /** Closes the connection immediately. */
     void abort();
 
-    std::string const& address() const
+    http_route const& way() const
     {
-        return m_address;
+        return m_way;
     }
 
 private:
+    awaitable<connect_result> open_tunnel();
     awaitable<void> write();
 
     beast::tcp_stream m_stream;
-    std::string m_address;
+    http_route m_way;
     beast::flat_buffer m_buffer;
     std::optional<http::request<http::string_body>> m_request;
     std::optional<http::response_parser<http::buffer_body>> m_parser;
@@ -124,17 +143,23 @@
     char m_chunk[8192];
 };
 
-/** Pool of idle connections by address. */
+/** Pool of idle connections by the way to their upstream. */
 class connection_pool
 {
 public:
     explicit connection_pool(asio::any_io_executor executor);
 
-    /** @param fresh connect even if there is an idle connection
-     *  @return a connection, or null if none was established in time */
-    awaitable<std::shared_ptr<http_connection>>
-    get(std::string const& address, std::chrono::milliseconds timeout,
-        bool fresh);
+    /** A connection, or null with the reason. */
+    struct result
+    {
+        std::shared_ptr<http_connection> m_connection;
+        connect_result m_connect = connect_result::connected;
+        bool m_is_new = false; ///< it was established now
+    };
+
+    /** @param fresh connect even if there is an idle connection */
+    awaitable<result> get(http_route way, std::chrono::milliseconds timeout,
+                          bool fresh);
 
     /** Returns a connection to the pool; closes it if it must not be reused. */
     void put(std::shared_ptr<http_connection> connection);
@@ -149,7 +174,7 @@
     void drop_expired(std::chrono::steady_clock::time_point now);
 
     asio::any_io_executor m_executor;
-    std::unordered_map<std::string, std::list<idle_connection>> m_idle;
+    std::map<http_route, std::list<idle_connection>> m_idle;
     std::chrono::steady_clock::time_point m_next_sweep;
 };
 
--- a/src/entry/request_attempt.cpp
+++ b/src/entry/request_attempt.cpp
@@ -18,9 +18,9 @@
 using namespace std::chrono_literals;
 using request::attempt_outcome;
 
-/** Timeout for connecting to an upstream: a few round trips and its time to
- *  accept, short against the latency targets. */
-constexpr std::chrono::milliseconds connect_timeout = 350ms;
+/** Timeout for connecting to an upstream, directly and, if that fails, through
+ *  a peer; short against the latency targets. */
+constexpr std::chrono::milliseconds connect_timeout = 600ms;
 
 /** Time after the deadline in which an answer that the upstream sends at the
  *  deadline can still arrive. */
@@ -158,14 +158,18 @@
     }
     // A copy of the refusal of the former attempt bears the id of this one; it
     // can only come on the connection of that attempt.
-    m_upstream =
-        co_await m_pool.get(place.m_upstream.m_address, left_to_connect,
-                            is_repeat || !m_route.m_repeatable);
+    upstream_connector::result const made = co_await m_connector.connect(
+        place.m_upstream, left_to_connect, is_repeat || !m_route.m_repeatable);
+    m_upstream = made.m_connection;
+    m_via = made.m_via;
     if (!m_upstream)
     {
         m_state.m_upstream_pool.note_ended(id, false, tokens);
         m_state.m_upstream_pool.note_unreachable(id, boot_time());
-        m_state.note_crash({id, incarnation(place.m_upstream.m_started)});
+        if (made.m_upstream_down)
+        {
+            m_state.note_crash({id, incarnation(place.m_upstream.m_started)});
+        }
         note_attempt(place, "unreachable", times);
         if (++m_unreachable >= max_unreachable)
         {
@@ -221,7 +225,6 @@
         m_silence_detector,
         watched_attempt{
             .m_upstream = id,
-            .m_address = place.m_upstream.m_address,
             .m_request = m_description.m_id,
             .m_capacity = upstream_capacity(),
             .m_target = m_route.m_target_latency,
@@ -338,7 +341,7 @@
             read_result = co_await m_upstream->read_rest(rest, max_answer_size);
             if (read_result == io_result::ok)
             {
-                m_pool.put(m_upstream);
+                m_connector.put(m_upstream);
             }
             else
             {
@@ -460,7 +463,7 @@
             ? after_timeout()
             : after_failure(true, "answer_incomplete");
     }
-    m_pool.put(m_upstream);
+    m_connector.put(m_upstream);
     m_status = answer.m_status;
     m_end_reason = "answered";
     if (info.m_not_run)
@@ -563,7 +566,7 @@
         }
         if (ended)
         {
-            m_pool.put(m_upstream);
+            m_connector.put(m_upstream);
             m_end_reason = "answered";
             bool const written = co_await m_caller->end_stream();
             m_close_after = m_close_after || !written;
--- a/src/entry/request_runner.cpp
+++ b/src/entry/request_runner.cpp
@@ -68,13 +68,14 @@
 
 } // namespace
 
-request_runner::request_runner(fleet_state& state, connection_pool& pool,
+request_runner::request_runner(fleet_state& state,
+                               upstream_connector& connector,
                                silence_detector& silence,
                                crash_detector& crashes,
                                stream_directory& streams,
                                std::shared_ptr<caller_connection> caller,
                                http::request<http::string_body> request)
-    : m_state(state), m_pool(pool), m_silence_detector(silence),
+    : m_state(state), m_connector(connector), m_silence_detector(silence),
       m_crash_detector(crashes), m_streams(streams),
       m_caller(std::move(caller)), m_request(std::move(request))
 {
@@ -613,6 +614,11 @@
         m_state.m_metrics.count("daisylead_rate_limited_attempts_total");
         entry["rate_limit"] = *place.m_rate_limit;
     }
+    if (!m_via.empty())
+    {
+        m_state.m_metrics.count("daisylead_tunnelled_attempts_total");
+        entry["via"] = m_via.value();
+    }
     if (times.m_outdated_for)
     {
         entry["outdated_ms"] =
--- a/src/entry/request_runner.hpp
+++ b/src/entry/request_runner.hpp
@@ -22,7 +22,7 @@
 class request_runner
 {
 public:
-    request_runner(fleet_state& state, connection_pool& pool,
+    request_runner(fleet_state& state, upstream_connector& connector,
                    silence_detector& silence, crash_detector& crashes,
                    stream_directory& streams,
                    std::shared_ptr<caller_connection> caller,
@@ -101,7 +101,7 @@
     void log_end();
 
     fleet_state& m_state;
-    connection_pool& m_pool;
+    upstream_connector& m_connector;
     silence_detector& m_silence_detector;
     crash_detector& m_crash_detector;
     stream_directory& m_streams;
@@ -128,6 +128,7 @@
     int m_broken_attempts = 0; ///< attempts whose connection broke
     int m_unreachable = 0; ///< upstreams that refused or timed out connections
     std::shared_ptr<http_connection> m_upstream; ///< of the current attempt
+    instance_id m_via; ///< peer whose tunnel the attempt uses; empty: none
     std::optional<silence_detector::watch>
         m_silence_watch; ///< of the current attempt
     serving::event_splitter m_splitter;
--- a/src/entry/silence_detector.cpp
+++ b/src/entry/silence_detector.cpp
@@ -1,7 +1,6 @@
 /** @file Detection of requests on silent upstreams. */
 #include "silence_detector.hpp"
 
-#include "http_connection.hpp"
 #include "keep_running_func.hpp"
 #include "pause_func.hpp"
 
@@ -38,8 +37,9 @@
 } // namespace
 
 silence_detector::silence_detector(boost::asio::any_io_executor executor,
-                                   fleet_state& state)
-    : m_executor(std::move(executor)), m_state(state)
+                                   fleet_state& state,
+                                   upstream_connector& connector)
+    : m_executor(std::move(executor)), m_state(state), m_connector(connector)
 {
 }
 
@@ -109,8 +109,7 @@
     case serving::silence_action::probe:
         times.m_last_probe_at = now;
         run_once(m_executor, "silence_probe",
-                 [this, id = item.m_upstream, address = item.m_address]
-                 { return probe(id, address); });
+                 [this, id = item.m_upstream] { return probe(id); });
         break;
     case serving::silence_action::end:
         telemetry::log(
@@ -132,12 +131,15 @@
     item.m_abort();
 }
 
-awaitable<void> silence_detector::probe(upstream_id id, std::string address)
+awaitable<void> silence_detector::probe(upstream_id id)
 {
-    auto const connection =
-        std::make_shared<http_connection>(m_executor, address);
-    bool const reached = co_await connection->connect(probe_timeout);
-    connection->abort();
+    serving::upstream_record const* const listed =
+        m_state.m_upstream_pool.find(id);
+    if (listed == nullptr)
+    {
+        co_return;
+    }
+    bool const reached = co_await m_connector.reaches(*listed, probe_timeout);
     if (!reached)
     {
         m_state.m_upstream_pool.note_unreachable(id, boot_time());
--- a/src/entry/silence_detector.hpp
+++ b/src/entry/silence_detector.hpp
@@ -1,7 +1,7 @@
 /** @file Detection of requests on silent upstreams. */
 #pragma once
 
-#include "fleet_state.hpp"
+#include "upstream_connector.hpp"
 
 #include <daisylead/entry/adapter_type.hpp>
 #include <daisylead/serving/silence_detector_func.hpp>
@@ -27,7 +27,6 @@
 struct watched_attempt
 {
     upstream_id m_upstream;        ///< upstream of the attempt
-    std::string m_address;         ///< "IP:port"
     std::string m_request;         ///< request id, for the log
     token_count m_capacity;        ///< cache capacity of an engine; 0: unknown
     duration m_target{};           ///< target latency of its route
@@ -58,7 +57,8 @@
 class silence_detector
 {
 public:
-    silence_detector(boost::asio::any_io_executor executor, fleet_state& state);
+    silence_detector(boost::asio::any_io_executor executor, fleet_state& state,
+                     upstream_connector& connector);
 
     /** Starts the periodic checks. */
     void start();
@@ -93,10 +93,11 @@
     void check(time_point now);
     void check_silence(watched_attempt& item, time_point now);
     static void abort(watched_attempt& item, abort_reason reason);
-    awaitable<void> probe(upstream_id id, std::string address);
+    awaitable<void> probe(upstream_id id);
 
     boost::asio::any_io_executor m_executor;
     fleet_state& m_state;
+    upstream_connector& m_connector;
     serving::silence_options m_options;
     std::shared_ptr<watched_attempts> m_watched =
         std::make_shared<watched_attempts>();
--- a/src/entry/stream_directory.cpp
+++ b/src/entry/stream_directory.cpp
@@ -33,6 +33,11 @@
 /** Time for an answer of the peers: several round trips. */
 constexpr std::chrono::milliseconds ask_timeout = 150ms;
 
+/** Instances learn at different times what proves that a service has had one
+ *  version; the one that begins a stream must not be the first to rely on it.
+ */
+constexpr duration proof_margin = 3s;
+
 /** Calls of a peer: the first one may find its connection reset. */
 constexpr int max_calls = 2;
 
@@ -54,7 +59,8 @@
 
 std::optional<software_version>
 stream_directory::sole_version(service_id const& service,
-                               std::chrono::milliseconds timeout) const
+                               std::chrono::milliseconds timeout,
+                               duration margin) const
 {
     time_point const now = boot_time();
     // An instance uses its list for as long as it may check keys with its
@@ -62,7 +68,7 @@
     return m_state.m_software.sole_version(
         service,
         now - lifetime_in_timeouts * timeout -
-            m_state.m_settings.m_key_validity,
+            m_state.m_settings.m_key_validity - margin,
         now);
 }
 
@@ -78,7 +84,7 @@
         m_own.pop_front();
     }
     m_own.emplace_back(now + origin.m_lifetime, origin);
-    if (sole_version(origin.m_service, timeout))
+    if (sole_version(origin.m_service, timeout, proof_margin))
     {
         m_uniform[origin.m_service] = timeout;
         return;
@@ -94,7 +100,7 @@
     for (auto item = m_uniform.begin(); item != m_uniform.end();)
     {
         auto const [service, timeout] = *item;
-        if (sole_version(service, timeout))
+        if (sole_version(service, timeout, proof_margin))
         {
             ++item;
             continue;
--- a/src/entry/stream_directory.hpp
+++ b/src/entry/stream_directory.hpp
@@ -64,8 +64,8 @@
                      reply_hook const& on_reply);
     bool is_contradicted(serving::stream_origin const& origin) const;
     std::optional<software_version>
-    sole_version(service_id const& service,
-                 std::chrono::milliseconds timeout) const;
+    sole_version(service_id const& service, std::chrono::milliseconds timeout,
+                 duration margin = {}) const;
     awaitable<std::optional<serving::stream_origin>>
     ask_peers(std::string stream);
     void on_upstreams();
--- a/src/peer/codec.cpp
+++ b/src/peer/codec.cpp
@@ -332,6 +332,7 @@
     target.setStarted(content.m_started);
     target.setZone(to_text(content.m_zone.value()));
     target.setSize(static_cast<std::int32_t>(content.m_size));
+    target.setTunnelAddress(to_text(content.m_tunnel_address));
 }
 
 void encode_document_state(serving::document_state const& content,
@@ -547,6 +548,11 @@
         named[i].setVersion(body.m_named[i].m_version);
         named[i].setAgeMs(body.m_named[i].m_age_ms);
     }
+    auto cut = item.initCutServices(size_of(body.m_cut_services));
+    for (unsigned i = 0; i < size_of(body.m_cut_services); ++i)
+    {
+        cut.set(i, to_text(body.m_cut_services[i].value()));
+    }
     if (body.m_software)
     {
         encode_software(*body.m_software, item.initSoftware());
@@ -703,8 +709,11 @@
 serving::member decode_member(wire::Member::Reader source)
 {
     return {instance_id(from_text(source.getId())),
-            from_text(source.getAddress()), source.getStarted(),
-            zone_id(from_text(source.getZone())), source.getSize()};
+            from_text(source.getAddress()),
+            source.getStarted(),
+            zone_id(from_text(source.getZone())),
+            source.getSize(),
+            from_text(source.getTunnelAddress())};
 }
 
 serving::document_state
@@ -901,6 +910,10 @@
         body.m_named.push_back({model_id(from_text(entry.getModel())),
                                 entry.getVersion(), entry.getAgeMs()});
     }
+    for (std::string& service : decode_texts(item.getCutServices()))
+    {
+        body.m_cut_services.emplace_back(std::move(service));
+    }
     if (item.hasSoftware())
     {
         body.m_software = decode_software(item.getSoftware());
--- a/src/peer/peer.capnp
+++ b/src/peer/peer.capnp
@@ -160,6 +160,7 @@
   started @2 :Int64;
   zone @3 :Text;
   size @4 :Int32;
+  tunnelAddress @5 :Text;
 }
 
 struct DocumentState {
@@ -279,4 +280,5 @@
   blockedDigest @30 :UInt64;
   knowsBlockedParts @31 :Bool;
   software @32 :SoftwareReport;
+  cutServices @33 :List(Text);
 }
--- a/src/serving/fleet_roster.cpp
+++ b/src/serving/fleet_roster.cpp
@@ -434,6 +434,7 @@
     peer.m_weights_token = news.m_weights_token;
     peer.m_weights_number = news.m_weights_number;
     peer.m_blocked_digest = news.m_blocked_digest;
+    peer.m_cut_services = news.m_cut_services;
 }
 
 peer_relation fleet_roster::note_call(fleet_news const& news, time_point now)
@@ -632,6 +633,40 @@
     return keepers;
 }
 
+std::vector<member> fleet_roster::tunnel_peers(service_id const& service,
+                                               time_point now) const
+{
+    auto const can_open = [&](peer_state const& peer)
+    {
+        return !peer.m_leaving && !peer.m_member.m_tunnel_address.empty() &&
+               std::find(peer.m_cut_services.begin(), peer.m_cut_services.end(),
+                         service) == peer.m_cut_services.end();
+    };
+    std::vector<member> peers;
+    if (is_mesh())
+    {
+        for (auto const& [id, peer] : m_active)
+        {
+            if (is_live(*peer, now) && can_open(*peer))
+            {
+                peers.push_back(peer->m_member);
+            }
+        }
+        return peers;
+    }
+    for (auto const& [zone, order] : zone_rankings())
+    {
+        for (instance_id const& id : designated_relays(order, now))
+        {
+            if (id != m_self.m_id && can_open(m_peers.at(id)))
+            {
+                peers.push_back(m_peers.at(id).m_member);
+            }
+        }
+    }
+    return peers;
+}
+
 std::vector<member> fleet_roster::members_for_peers(time_point now) const
 {
     std::vector<member> members;
--- a/src/serving/upstream_pool.cpp
+++ b/src/serving/upstream_pool.cpp
@@ -555,6 +555,30 @@
     item.m_paused_until = now + std::min(pause, m_options.m_max_backoff);
 }
 
+void upstream_pool::forget_failures(service_id const& service)
+{
+    for (auto& [id, item] : m_entries)
+    {
+        if (item.m_record.m_service == service && item.m_failures > 0)
+        {
+            item.m_failures = 0;
+            item.m_paused_until = time_point();
+        }
+    }
+}
+
+bool upstream_pool::is_rejecting(upstream_id const& id, time_point now) const
+{
+    auto const found = m_entries.find(id);
+    return found != m_entries.end() && found->second.m_rejected_until > now;
+}
+
+std::size_t upstream_pool::size(service_id const& service) const
+{
+    auto const found = m_by_service.find(service);
+    return found == m_by_service.end() ? 0 : found->second.size();
+}
+
 void upstream_pool::note_reachable(upstream_id const& id)
 {
     auto const found = m_entries.find(id);
--- a/tests/entry/stand_in.cpp
+++ b/tests/entry/stand_in.cpp
@@ -523,6 +523,7 @@
         m_settings.m_caller_address = free_address();
         m_settings.m_readiness_address = free_address();
         m_settings.m_metrics_address = free_address();
+        m_settings.m_tunnel_address = free_address();
         try
         {
             m_instance = std::make_unique<entry::entry_instance>(
@@ -567,6 +568,14 @@
     return read_until_idle(descriptor, idle_timeout);
 }
 
+std::string running_instance::ask_for_tunnel(std::string const& upstream)
+{
+    int const descriptor = connect_to(m_settings.m_tunnel_address);
+    send_all(descriptor, "CONNECT " + upstream +
+                             " HTTP/1.1\r\nHost: " + upstream + "\r\n\r\n");
+    return read_until_idle(descriptor, 200ms);
+}
+
 std::string running_instance::exchange_in_parts(
     std::string const& first, std::function<void()> const& between,
     std::chrono::milliseconds pause, std::string const& rest)
--- a/tests/entry/stand_in.hpp
+++ b/tests/entry/stand_in.hpp
@@ -183,6 +183,9 @@
         return m_rules_reads;
     }
 
+    /** @return the answer to a request at the address for tunnels. */
+    std::string ask_for_tunnel(std::string const& upstream);
+
     /** The store gives no answer from now on. */
     void fail_store()
     {
--- a/tests/entry/tunnel_test.cpp
+++ b/tests/entry/tunnel_test.cpp
@@ -51,6 +51,11 @@
         return *m_cut;
     }
 
+    running_instance& sound()
+    {
+        return *m_sound;
+    }
+
     void restore()
     {
         m_cut->set_upstreams(records(true));
@@ -148,6 +153,27 @@
     CHECK(std::chrono::steady_clock::now() - began < 900ms);
 }
 
+TEST_CASE("tunnels are opened for peers only, and only to listed upstreams")
+{
+    cut_fleet fleet(&answer_all);
+    CHECK(fleet.sound().ask_for_tunnel("u0").starts_with("HTTP/1.1 200"));
+    CHECK(fleet.sound().ask_for_tunnel("other").starts_with("HTTP/1.1 403"));
+    CHECK(fleet.sound()
+              .ask_for_tunnel("127.0.0.1:22")
+              .starts_with("HTTP/1.1 403"));
+    // The address of the upstream at this instance has no listener.
+    CHECK(fleet.cut().ask_for_tunnel("u0").starts_with("HTTP/1.1 502"));
+    scripted_upstream upstream(&answer_all);
+    serving::upstream_record record;
+    record.m_id = upstream_id("u0");
+    record.m_service = service_id("s");
+    record.m_address = upstream.address();
+    record.m_zone = zone_id("a");
+    record.m_slots = 10;
+    running_instance lone(make_open_catalog(400ms), {record});
+    CHECK(lone.ask_for_tunnel("u0").starts_with("HTTP/1.1 403"));
+}
+
 TEST_CASE("an instance returns to its own path")
 {
     cut_fleet fleet(&answer_all);
