--- a/tests/entry/stand_in.hpp
+++ b/tests/entry/stand_in.hpp
@@ -174,6 +174,12 @@
     /** The store holds another configuration from now on. */
     void set_rules(std::uint64_t revision, serving::catalog catalog);
 
+    /** Time between a stop signal and the end of the process. */
+    void set_grace(std::chrono::milliseconds grace)
+    {
+        m_settings.m_grace = grace;
+    }
+
     /** Service discovery holds other upstreams from now on. */
     void set_upstreams(std::vector<serving::upstream_record> upstreams);
 
