Fix: [Entry] a stopping instance took requests that its grace time could not hold

Cause: a stopping instance passes on all requests for 2.4 s, whatever is left of the grace time. With 8 s of it, 5.2 s are left; with 3.4 s the test's request was sent to the upstream 2 s before the end of the process, and its caller got no answer. Evidence: 'a request that may outlast the grace time is refused during a stop' failed before (no 503, received by the upstream) and passes now. Change: while an instance drains, a request that may need more time than is left (its limit, 5 s at most) is refused with 503 and a pause of 50 ms, before a byte goes to an upstream.

--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -186,6 +186,8 @@
                 continue;
             }
             m_state.m_draining = true;
+            m_state.m_drain_ends_at =
+                boot_time() + m_settings.m_grace - grace_margin;
             telemetry::log(severity::info, "draining",
                            {{"signal", signal},
                             {"active_requests", *m_state.m_active_requests}});
--- a/src/entry/fleet_state.hpp
+++ b/src/entry/fleet_state.hpp
@@ -229,6 +229,7 @@
     std::function<void()> m_on_urgent_news; ///< sends news immediately
     std::function<void()> m_on_upstreams;   ///< a list was read or confirmed
     bool m_draining = false;
+    time_point m_drain_ends_at; ///< while draining: end of the process
     /** Requests whose first byte has arrived and whose answer is not
      *  complete. Shared with the connections, which may outlive this state. */
     std::shared_ptr<std::size_t> m_active_requests =
--- a/src/entry/request_runner.cpp
+++ b/src/entry/request_runner.cpp
@@ -62,6 +62,13 @@
  *  long as such requests come. */
 constexpr duration blocked_part_retry_delay = 10min;
 
+/** Time that a request needs to end before this instance stops, if its limit
+ *  is longer: few requests take longer. */
+constexpr duration usual_request_time = 5s;
+
+/** Retry-After of callers when other instances can serve the request. */
+constexpr duration other_instance_retry_delay = 50ms;
+
 /** Retry-After of callers when this instance lacks data that it or another
  *  instance will soon have. */
 constexpr duration stale_config_retry_delay = 300ms;
@@ -230,6 +237,14 @@
         timeout = std::min(timeout, *m_description.m_caller_timeout);
     }
     m_deadline = m_began + timeout;
+    if (m_state.m_draining &&
+        m_began + std::min<duration>(timeout, usual_request_time) >
+            m_state.m_drain_ends_at)
+    {
+        return refusal{503, "draining",
+                       "this instance stops before the request may end",
+                       other_instance_retry_delay};
+    }
     if (auto refused = check_key(m_began))
     {
         return refused;
