--- a/src/entry/fleet_state.cpp
+++ b/src/entry/fleet_state.cpp
@@ -1028,6 +1028,11 @@
             }
         }
     }
+    nlohmann::json cut = nlohmann::json::array();
+    for (service_id const& service : cut_services())
+    {
+        cut.push_back(service.value());
+    }
     auto const age = m_rules_freshness.age(now);
     return {{"instance", m_settings.m_instance.value()},
             {"configuration",
@@ -1036,6 +1041,7 @@
             {"ready", is_ready(now)},
             {"draining", m_draining},
             {"active_requests", *m_active_requests},
+            {"cut_from", std::move(cut)},
             {"blocked_parts", m_part_quarantine.blocked_parts().size()},
             {"suspect_parts", m_part_quarantine.suspects()},
             {"relay", m_roster.is_relay(now)},
--- a/tests/serving/software_history_test.cpp
+++ b/tests/serving/software_history_test.cpp
@@ -19,7 +19,8 @@
     return time_point(1h) + offset;
 }
 
-std::vector<upstream_record> make_list(std::vector<software_version> versions)
+std::vector<upstream_record>
+make_list(std::vector<software_version> const& versions)
 {
     std::vector<upstream_record> list;
     for (software_version const& version : versions)
@@ -34,7 +35,8 @@
 }
 
 /** Reads of the same list each second. */
-void read_all(software_history& history, std::vector<upstream_record> list,
+void read_all(software_history& history,
+              std::vector<upstream_record> const& list,
               std::chrono::seconds from, std::chrono::seconds to)
 {
     for (auto time = from; time <= to; time += 1s)
