--- a/src/entry/stream_directory.cpp
+++ b/src/entry/stream_directory.cpp
@@ -139,7 +139,7 @@
     {
         m_state.m_metrics.count("daisylead_stream_origins_sent_total", {},
                                 records.m_origins.size());
-        call_keeper(address, std::move(records), max_calls, [](auto const&) {});
+        call_keeper(address, records, max_calls, [](auto const&) {});
     }
 }
 
--- a/src/entry/upstream_connector.cpp
+++ b/src/entry/upstream_connector.cpp
@@ -42,7 +42,7 @@
 
 } // namespace
 
-upstream_connector::upstream_connector(asio::any_io_executor executor,
+upstream_connector::upstream_connector(asio::any_io_executor const& executor,
                                        fleet_state& state)
     : m_executor(executor), m_state(state), m_pool(executor)
 {
@@ -168,7 +168,7 @@
         {
             continue;
         }
-        serving::upstream_record const upstream =
+        serving::upstream_record const& upstream =
             upstreams[random_index(upstreams.size())];
         auto const connection = std::make_shared<http_connection>(
             m_executor, http_route{upstream.m_address, "", {}});
--- a/src/entry/upstream_connector.hpp
+++ b/src/entry/upstream_connector.hpp
@@ -13,7 +13,8 @@
 class upstream_connector
 {
 public:
-    upstream_connector(asio::any_io_executor executor, fleet_state& state);
+    upstream_connector(asio::any_io_executor const& executor,
+                       fleet_state& state);
 
     /** Result of connect(). */
     struct result
