Fix: [Entry] a tunnel to an upstream whose address cannot be parsed ended the process

Cause: the address of a record that a peer sent is not checked, and the tunnel server used the parsed endpoint unchecked. It is refused as not listed; the test lists such an upstream.

--- a/src/entry/tunnel_server.cpp
+++ b/src/entry/tunnel_server.cpp
@@ -159,7 +159,7 @@
     }
     serving::upstream_record const* const upstream =
         m_state.m_upstream_pool.find(id);
-    if (upstream == nullptr)
+    if (upstream == nullptr || !parse_endpoint(upstream->m_address))
     {
         return {403, "not_listed"};
     }
--- a/tests/entry/tunnel_test.cpp
+++ b/tests/entry/tunnel_test.cpp
@@ -114,6 +114,17 @@
     std::unique_ptr<running_instance> m_sound;
 };
 
+/** @return an upstream that a peer may list, but not the store. */
+serving::upstream_record no_address()
+{
+    serving::upstream_record record;
+    record.m_id = upstream_id("u9");
+    record.m_service = service_id("s");
+    record.m_address = "nowhere";
+    record.m_slots = 10;
+    return record;
+}
+
 std::string send(running_instance& instance, int number,
                  std::string const& path = "/again/x")
 {
@@ -163,6 +174,9 @@
               .starts_with("HTTP/1.1 403"));
     // The address of the upstream at this instance has no listener.
     CHECK(fleet.cut().ask_for_tunnel("u0").starts_with("HTTP/1.1 502"));
+    fleet.sound().set_upstreams({no_address()});
+    std::this_thread::sleep_for(1000ms);
+    CHECK(fleet.sound().ask_for_tunnel("u9").starts_with("HTTP/1.1 403"));
     scripted_upstream upstream(&answer_all);
     serving::upstream_record record;
     record.m_id = upstream_id("u0");
