Fix: [Entry] a planned stop dropped requests that had arrived when it closed idle connections

Cause: 2.4 s after the signal the reads of idle connections are cancelled. A request can be in the socket by then, unread, while the thread is busy or has no processor time; the cancelled read ended the connection, and the bytes were read and dropped.

--- a/src/entry/caller_server.cpp
+++ b/src/entry/caller_server.cpp
@@ -169,6 +169,14 @@
                 asio::redirect_error(asio::use_awaitable, failure));
             m_idle.erase(caller);
             buffer.commit(size);
+            // A request that had arrived when the idle connections were closed
+            // gets an answer.
+            beast::error_code ignored;
+            if (failure == asio::error::operation_aborted && m_closing &&
+                stream.socket().available(ignored) > 0)
+            {
+                continue;
+            }
             if (failure)
             {
                 break;
--- a/tests/entry/planned_stop_test.cpp
+++ b/tests/entry/planned_stop_test.cpp
@@ -87,3 +87,25 @@
     CHECK(instance.exchange(make_request("Deadline-Ms: 800\r\n"), 1000ms)
               .starts_with("HTTP/1.1 200"));
 }
+
+TEST_CASE("a request that arrives as idle connections are closed is answered")
+{
+    // Guards against a planned stop that drops a request which waits in the
+    // socket while the thread of the instance is busy.
+    scripted_upstream upstream([](served_connection&) {});
+    serving::upstream_record record;
+    record.m_id = upstream_id("u1");
+    record.m_service = service_id("s");
+    record.m_address = upstream.address();
+    record.m_zone = zone_id("a");
+    record.m_slots = 10;
+    running_instance instance(make_stop_catalog(), {record});
+    instance.set_grace(5000ms);
+    std::raise(SIGTERM);
+    // Idle connections are closed 2.4 s after the signal, in steps of 0.1 s.
+    std::this_thread::sleep_for(2200ms);
+    std::string const answer = instance.exchange_while_busy(
+        make_request("Deadline-Ms: 500\r\n"), 400ms);
+    INFO(answer);
+    CHECK(answer.starts_with("HTTP/1.1 503"));
+}
--- a/tests/entry/stand_in.cpp
+++ b/tests/entry/stand_in.cpp
@@ -4,6 +4,7 @@
 #include <daisylead/base/error_type.hpp>
 #include <daisylead/entry/http_caller_base.hpp>
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -568,6 +569,29 @@
     return read_until_idle(descriptor, idle_timeout);
 }
 
+std::string
+running_instance::exchange_while_busy(std::string const& bytes,
+                                      std::chrono::milliseconds busy)
+{
+    int const descriptor = connect_to(m_settings.m_caller_address);
+    std::this_thread::sleep_for(50ms);
+    // Timers that end during the first half are handled after the second one,
+    // before bytes that arrive in it.
+    auto const be_busy = [busy]
+    {
+        std::this_thread::sleep_for(busy / 2);
+    };
+    boost::asio::post(m_context,
+                      [this, be_busy]
+                      {
+                          be_busy();
+                          boost::asio::post(m_context, be_busy);
+                      });
+    std::this_thread::sleep_for(busy * 3 / 4);
+    send_all(descriptor, bytes);
+    return read_until_idle(descriptor, 1000ms);
+}
+
 std::string running_instance::ask_for_tunnel(std::string const& upstream)
 {
     int const descriptor = connect_to(m_settings.m_tunnel_address);
--- a/tests/entry/stand_in.hpp
+++ b/tests/entry/stand_in.hpp
@@ -160,6 +160,12 @@
                          std::chrono::milliseconds idle_timeout =
                              std::chrono::milliseconds(700));
 
+    /** Connects, keeps the thread of the instance busy for a time and sends
+     *  bytes meanwhile.
+     *  @return the answer */
+    std::string exchange_while_busy(std::string const& bytes,
+                                    std::chrono::milliseconds busy);
+
     /** Sends a request in two parts, calls @p between after the first one,
      *  and reads the answer. */
     std::string exchange_in_parts(std::string const& first,
