--- a/review/build.sh
+++ b/review/build.sh
@@ -6,5 +6,5 @@
 for source in review/[1-5]/case.cpp; do
   number=$(basename "$(dirname "$source")")
   "${CXX:-g++}" -std=c++20 -O2 -Wall -Wextra -pthread "$source" \
-    review/tools/net.cpp review/tools/platform.cpp -o "target/review/case-$number"
+    review/tools/net.cpp review/tools/platform.cpp review/tools/shop.cpp -o "target/review/case-$number"
 done
--- a/review/tools/net.cpp
+++ b/review/tools/net.cpp
@@ -8,6 +8,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <random>
 #include <stdexcept>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -364,9 +365,24 @@
 
 int free_port()
 {
-    int port = 0;
-    ::close(listen_on_free_port(port));
-    return port;
+    // Below the ports that the kernel gives to connecting sockets, so that
+    // none of them takes the port before the instance listens on it.
+    static std::mt19937 generator{std::random_device{}()};
+    std::uniform_int_distribution<int> distribution(20000, 32000);
+    for (;;)
+    {
+        int const port = distribution(generator);
+        int const descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        sockaddr_in const address = loopback(port);
+        bool const is_free =
+            ::bind(descriptor, reinterpret_cast<sockaddr const*>(&address),
+                   sizeof address) == 0;
+        ::close(descriptor);
+        if (is_free)
+        {
+            return port;
+        }
+    }
 }
 
 std::string make_answer(int status, std::string const& fields,
--- a/review/tools/platform.cpp
+++ b/review/tools/platform.cpp
@@ -12,8 +12,6 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-extern char** environ;
-
 namespace review
 {
 
@@ -336,6 +334,7 @@
         }
     }
     std::vector<char*> pointers;
+    pointers.reserve(environment.size() + 1);
     for (std::string& item : environment)
     {
         pointers.push_back(item.data());
