Test: [Review] after a kill of all, streams taken up again are refused

Cause: the origins of streams and the history of software versions live in the memory of the instances; after all have ended nothing proves that one version served until twice the timeout of the route and the validity of keys have passed.

--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -17,8 +17,9 @@
 constexpr int events = 20;
 constexpr int stream_callers = 12;
 
-/** Pause after which callers abandon a stream of this route. */
-constexpr auto abandon_after = 2400ms;
+/** Callers abandon a stream of this route after a pause of 2.4 s; the pause
+ *  begins within the first 200 ms. */
+constexpr auto abandon_after = 2600ms;
 
 /** One answer in this many is spoiled. */
 constexpr int spoiled_interval = 50;
--- a/review/5/case.cpp
+++ b/review/5/case.cpp
@@ -1,9 +1,8 @@
-/** @file The servers of a service say that they are brittle; the instance goes
- *  on to send them more than they have room for, and they fall over. */
+/** @file All processes are killed; streams of before are refused when their
+ *  callers take them up again. */
 #include "../tools/shop.hpp"
 
-#include <deque>
-#include <semaphore>
+#include <array>
 
 namespace
 {
@@ -12,260 +11,222 @@
 using nlohmann::json;
 using namespace std::chrono_literals;
 
-constexpr auto steady_time = 3s;
-constexpr auto brittle_time = 15s;
-constexpr int servers = 3;
-constexpr int slots = 6;
-constexpr int usual_queue = 24;
-constexpr int brittle_queue = 2;
-constexpr int callers = 60;
-constexpr auto work_time = 60ms;
+constexpr int events = 73;
+constexpr auto event_interval = 100ms;
+constexpr int streams = 20;
+constexpr int deadline_ms = 15000;
 
-/** Requests that a server may have to turn away in a second, as it states. */
-constexpr int max_rejections = 10;
+/** The instance runs for this long before the streams begin. */
+constexpr auto steady_time = 5s;
 
-/** Time that the rule leaves after the first statement. */
-constexpr auto stable_time = 3s;
+/** Time of the streams before they break. */
+constexpr auto first_part = 1500ms;
 
-/** A server that has fallen over is back after this time. */
-constexpr auto down_time = 2s;
+constexpr auto restart_delay = 800ms;
 
-/** Falls that the rule permits: 2 and a tenth of the servers. */
-constexpr double max_falls = 2 + servers * 0.1;
+/** When callers take a stream up again, after it broke. The machine is in touch
+ *  at the last one: stableMs has passed since its start. */
+constexpr std::array<milliseconds, 3> take_up_at{1500ms, 3000ms, 5000ms};
 
-struct totals
+struct stream
 {
-    std::atomic<int> m_sent = 0;
-    std::atomic<int> m_answered = 0;
-    std::atomic<int> m_refused = 0;
-    std::atomic<int> m_failed = 0;
-    std::atomic<int> m_rejected = 0;
-    std::atomic<int> m_falls = 0;
+    std::string m_id;
+    int m_last = 0; ///< id of its last event
+    int m_status = 0;
+    bool m_whole = false; ///< ended with its last event
 };
 
-/** Whether the servers are brittle, and since when. */
-class brittleness
+/** A model server that goes on after Last-Event-Id. */
+void serve_streams(connection& caller)
 {
-public:
-    void begin()
-    {
-        m_began = clock::now();
-        m_active = true;
-    }
-
-    void end()
-    {
-        m_active = false;
-    }
-
-    bool is_active() const
-    {
-        return m_active;
-    }
-
-    int queue() const
+    message request;
+    while (caller.read_request(request) == end_kind::complete)
     {
-        return m_active && clock::now() - m_began.load() > stable_time
-                   ? brittle_queue
-                   : usual_queue;
+        caller.write(stream_head(request));
+        for (int i = std::atoi(request.field("Last-Event-Id").c_str()) + 1;
+             i <= events; ++i)
+        {
+            std::this_thread::sleep_for(event_interval);
+            if (!caller.write(make_chunk(make_event(i))))
+            {
+                return;
+            }
+        }
+        if (!caller.write("0\r\n\r\n"))
+        {
+            return;
+        }
     }
+}
 
-private:
-    std::atomic<bool> m_active = false;
-    std::atomic<clock::time_point> m_began;
-};
-
-/** Places and queue of a server. */
-class room
+/** @return id of the last whole event in the bytes of a stream; 0: none */
+int last_event(std::string const& bytes)
 {
-public:
-    /** @return whether the request is taken */
-    bool enter(int queue)
-    {
-        std::lock_guard const lock(m_mutex);
-        bool const taken = m_held < slots + queue;
-        m_held += taken ? 1 : 0;
-        return taken;
-    }
+    std::size_t const end = bytes.rfind("\n\n");
+    std::size_t const begin =
+        end == std::string::npos ? end : bytes.rfind("id: ", end);
+    return begin == std::string::npos ? 0
+                                      : std::atoi(bytes.c_str() + begin + 4);
+}
 
-    /** Waits for a place, works and leaves. */
-    void work()
-    {
-        m_places.acquire();
-        std::this_thread::sleep_for(work_time);
-        m_places.release();
-        std::lock_guard const lock(m_mutex);
-        --m_held;
+/** Sends a request for a stream and reads the answer. */
+void read_stream(shop& deployment, stream& item, std::string const& request,
+                 milliseconds timeout)
+{
+    auto const caller = connection::open(deployment.entry().caller_port());
+    message answer;
+    item.m_status = 0;
+    item.m_whole = false;
+    if (caller && caller->write(request))
+    {
+        bool const ended =
+            caller->read_answer(answer, timeout) == end_kind::complete;
+        item.m_status = answer.status();
+        item.m_whole = ended && answer.m_body.ends_with(make_event(events));
+        item.m_last = std::max(item.m_last, last_event(answer.m_body));
     }
+}
 
-    /** @return requests that were turned away in the last second */
-    int note_rejection()
-    {
-        clock::time_point const now = clock::now();
-        std::lock_guard const lock(m_mutex);
-        m_rejections.push_back(now);
-        while (now - m_rejections.front() > 1s)
-        {
-            m_rejections.pop_front();
-        }
-        return static_cast<int>(m_rejections.size());
+/** Takes a stream up again until it goes on. */
+void take_up(shop& deployment, stream& item, clock::time_point began,
+             clock::time_point broke)
+{
+    for (std::size_t i = 0; i < take_up_at.size() && item.m_status != 200; ++i)
+    {
+        std::this_thread::sleep_until(broke + take_up_at[i]);
+        auto const left =
+            milliseconds(deadline_ms) -
+            std::chrono::duration_cast<milliseconds>(clock::now() - began);
+        std::string request =
+            stream_request("/translate/1", item.m_id + "-" + std::to_string(i),
+                           static_cast<int>(left.count()));
+        request.insert(request.find("X-Model"),
+                       "Resumes: " + item.m_id + "\r\nLast-Event-Id: " +
+                           std::to_string(item.m_last) + "\r\n");
+        read_stream(deployment, item, request, left);
     }
+}
 
-    void forget_rejections()
+std::vector<stream> make_streams(std::string const& name)
+{
+    std::vector<stream> items(streams);
+    for (std::size_t i = 0; i < items.size(); ++i)
     {
-        std::lock_guard const lock(m_mutex);
-        m_rejections.clear();
+        items[i].m_id = name + "-" + std::to_string(i);
     }
+    return items;
+}
 
-    std::atomic<bool> m_falls = false;
-
-private:
-    std::counting_semaphore<slots> m_places{slots};
-    std::mutex m_mutex;
-    int m_held = 0;                             ///< guarded by m_mutex
-    std::deque<clock::time_point> m_rejections; ///< guarded by m_mutex
-};
-
-void serve(connection& caller, room& place, brittleness const& state,
-           totals& counts)
+/** Runs a function for each stream, in threads of their own. */
+std::vector<std::thread> for_each(std::vector<stream>& items,
+                                  std::function<void(stream&)> const& run_one)
 {
-    message request;
-    while (caller.read_request(request) == end_kind::complete)
+    std::vector<std::thread> threads;
+    threads.reserve(items.size());
+    for (stream& item : items)
     {
-        std::string fields = answer_fields(request);
-        if (state.is_active())
-        {
-            fields +=
-                "Server-Brittle: " + std::to_string(max_rejections) + "\r\n";
-        }
-        if (place.enter(state.queue()))
-        {
-            place.work();
-            if (!caller.write(make_answer(200, fields, "done")))
-            {
-                return;
-            }
-            continue;
-        }
-        ++counts.m_rejected;
-        bool const is_over = place.note_rejection() > max_rejections;
-        place.m_falls = place.m_falls || (state.is_active() && is_over);
-        if (!caller.write(
-                make_answer(503, fields + "X-Not-Executed: 1\r\n", "")))
-        {
-            return;
-        }
+        threads.emplace_back([run_one, &item] { run_one(item); });
     }
+    return threads;
 }
 
-/** Lets a server fall over that has turned away too many. */
-void watch_server(shop& deployment, int number, room& place, totals& counts,
-                  record& log)
+void join(std::vector<std::thread>& threads)
 {
-    while (!deployment.is_stopping())
+    for (std::thread& item : threads)
     {
-        if (place.m_falls)
-        {
-            ++counts.m_falls;
-            log.add("server " + std::to_string(number) + " falls over");
-            deployment.set_down(number, true);
-            std::this_thread::sleep_for(down_time);
-            place.forget_rejections();
-            place.m_falls = false;
-            deployment.set_down(number, false);
-        }
-        std::this_thread::sleep_for(5ms);
+        item.join();
     }
 }
 
-void send_bookings(shop& deployment, int number, totals& counts)
+int judge(std::vector<stream> const& broken, std::vector<stream> const& fresh,
+          record& log)
 {
-    std::unique_ptr<connection> kept;
-    for (int i = 0; !deployment.is_stopping(); ++i)
+    int went_on = 0;
+    int began = 0;
+    for (stream const& item : broken)
     {
-        if (!kept)
-        {
-            kept = connection::open(deployment.entry().caller_port());
-        }
-        if (!kept)
-        {
-            std::this_thread::sleep_for(100ms);
-            continue;
-        }
-        ++counts.m_sent;
-        kept->write("POST /booking/1 HTTP/1.1\r\nHost: shop.example\r\n"
-                    "X-Attempt-Id: booking-" +
-                    std::to_string(number) + "-" + std::to_string(i) +
-                    "\r\nX-Deadline-Ms: 1500\r\nContent-Length: 4\r\n\r\nsale");
-        message answer;
-        if (kept->read_answer(answer, 2500ms) != end_kind::complete)
-        {
-            ++counts.m_failed;
-            kept.reset();
-            continue;
-        }
-        int const status = answer.status();
-        ++(status == 200   ? counts.m_answered
-           : status == 503 ? counts.m_refused
-                           : counts.m_failed);
-        if (status == 503)
-        {
-            // Callers wait as they are told.
-            std::this_thread::sleep_for(std::chrono::duration<double>(
-                std::atof(answer.field("Retry-After").c_str())));
-        }
+        went_on += item.m_whole ? 1 : 0;
+        log.add("caller: " + item.m_id + ", last event " +
+                std::to_string(item.m_last) + ", last answer " +
+                std::to_string(item.m_status));
+    }
+    for (stream const& item : fresh)
+    {
+        began += item.m_status == 200 ? 1 : 0;
     }
+    log.add("of " + std::to_string(streams) + " streams that were taken up " +
+            std::to_string(went_on) + " went on; of " +
+            std::to_string(streams) + " new ones " + std::to_string(began) +
+            " began");
+    if (began == 0)
+    {
+        return 2;
+    }
+    bool const is_broken = went_on * 2 < began;
+    log.add(is_broken ? "LOST is broken" : "LOST holds");
+    return is_broken ? 1 : 0;
 }
 
 int run(record& log)
 {
-    brittleness state;
-    totals counts;
-    std::vector<room> places(servers);
+    json route = make_route("translate", "/translate/", "streaming", "scribe",
+                            deadline_ms, 800, 2);
+    route["resumable"] = true;
     shop deployment(
-        log,
-        [&](connection& caller, int number)
-        { serve(caller, places[number], state, counts); },
-        json::array({make_route("booking", "/booking/", "non_idempotent",
-                                "scribe", 1500, 150, 1)}),
-        slots);
+        log, [](connection& caller, int) { serve_streams(caller); },
+        json::array({route}));
     if (!deployment.start())
     {
         return 2;
     }
-    for (int i = 0; i < servers; ++i)
+    std::this_thread::sleep_for(steady_time);
+    std::vector<stream> broken = make_streams("stream");
+    clock::time_point const began = clock::now();
+    std::vector<std::thread> threads = for_each(
+        broken,
+        [&](stream& item)
+        {
+            read_stream(deployment, item,
+                        stream_request("/translate/1", item.m_id, deadline_ms),
+                        first_part);
+        });
+    if (has_trouble())
     {
-        deployment.run_thread(
-            [&, i] { watch_server(deployment, i, places[i], counts, log); });
+        std::this_thread::sleep_until(began + first_part - 100ms);
+        deployment.entry().kill();
+        log.add("all processes of the system are killed");
     }
-    for (int i = 0; i < callers; ++i)
+    join(threads);
+    clock::time_point const broke = clock::now();
+    log.add("the streams have lost their connections");
+    for (stream& item : broken)
     {
-        deployment.run_thread([&, i] { send_bookings(deployment, i, counts); });
+        item.m_status = 0;
     }
-    std::this_thread::sleep_for(steady_time);
-    log.add(std::to_string(counts.m_rejected) + " turned away before");
     if (has_trouble())
     {
-        log.add("the servers say that they are brittle");
-        state.begin();
-    }
-    std::this_thread::sleep_for(brittle_time);
-    state.end();
-    log.add("the servers are sound again");
+        std::this_thread::sleep_until(broke + restart_delay);
+        deployment.entry().start({});
+        log.add("the process is started again");
+    }
+    threads = for_each(broken, [&](stream& item)
+                       { take_up(deployment, item, began, broke); });
+    std::this_thread::sleep_until(broke + take_up_at.back());
+    log.add(deployment.entry().is_ready() ? "the instance is ready"
+                                          : "the instance is not ready");
+    std::vector<stream> fresh = make_streams("new");
+    std::vector<std::thread> others = for_each(
+        fresh,
+        [&](stream& item)
+        {
+            read_stream(deployment, item,
+                        stream_request("/translate/1", item.m_id, deadline_ms),
+                        2s);
+        });
+    join(others);
+    join(threads);
     deployment.stop();
-    log.add("bookings: " + std::to_string(counts.m_sent) + " sent, " +
-            std::to_string(counts.m_answered) + " answered, " +
-            std::to_string(counts.m_refused) + " refused, " +
-            std::to_string(counts.m_failed) + " failed; servers turned " +
-            std::to_string(counts.m_rejected) + " away and fell over " +
-            std::to_string(counts.m_falls) + " times (2 permitted)");
-    if (counts.m_answered == 0)
-    {
-        return 2;
-    }
-    bool const is_broken = counts.m_falls > max_falls;
-    log.add(is_broken ? "LIMIT is broken" : "LIMIT holds");
-    return is_broken ? 1 : 0;
+    return judge(broken, fresh, log);
 }
 
 } // namespace
