--- a/review/tools/net.cpp
+++ b/review/tools/net.cpp
@@ -39,14 +39,11 @@
                       { return std::tolower(x) == std::tolower(y); });
 }
 
-/** Opens a listener of the loopback address.
- *  @param port 0: a free one is chosen */
-int listen_on(int& port)
+/** Opens a listener on a free port of the loopback address. */
+int listen_on_free_port(int& port)
 {
     int const descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    int const on = 1;
-    ::setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-    sockaddr_in address = loopback(port);
+    sockaddr_in address = loopback(0);
     socklen_t size = sizeof address;
     if (descriptor < 0 ||
         ::bind(descriptor, reinterpret_cast<sockaddr*>(&address), size) != 0 ||
@@ -299,7 +296,7 @@
 }
 
 server::server(handler run)
-    : m_run(std::move(run)), m_listener(listen_on(m_port)),
+    : m_run(std::move(run)), m_listener(listen_on_free_port(m_port)),
       m_acceptor([this] { accept_loop(); })
 {
 }
@@ -323,11 +320,6 @@
     ::shutdown(m_listener, SHUT_RDWR);
     m_acceptor.join();
     ::close(m_listener);
-    end_connections();
-}
-
-void server::end_connections()
-{
     while (m_active > 0)
     {
         {
@@ -341,31 +333,12 @@
     }
 }
 
-void server::set_down(bool down)
-{
-    m_down = down;
-    if (down)
-    {
-        ::shutdown(m_listener, SHUT_RDWR);
-    }
-}
-
 void server::accept_loop()
 {
     while (!m_stopping)
     {
         int const descriptor =
             ::accept4(m_listener, nullptr, nullptr, SOCK_CLOEXEC);
-        if (descriptor < 0 && m_down && !m_stopping)
-        {
-            ::close(m_listener);
-            end_connections();
-            while (m_down && !m_stopping)
-            {
-                std::this_thread::sleep_for(milliseconds(5));
-            }
-            m_listener = listen_on(m_port);
-        }
         if (descriptor < 0)
         {
             continue;
--- a/review/tools/net.hpp
+++ b/review/tools/net.hpp
@@ -107,18 +107,13 @@
 
     void stop();
 
-    /** Ends all connections and refuses new ones until it is set up again. */
-    void set_down(bool down);
-
 private:
     void accept_loop();
-    void end_connections();
 
     handler m_run;
     int m_port = 0; ///< set by the initialisation of m_listener
     int m_listener;
     std::atomic<bool> m_stopping = false;
-    std::atomic<bool> m_down = false;
     std::atomic<int> m_active = 0;
     std::mutex m_mutex;
     std::set<connection*> m_open; ///< guarded by m_mutex
--- a/review/tools/shop.cpp
+++ b/review/tools/shop.cpp
@@ -18,6 +18,7 @@
 constexpr int order_servers = 2;
 constexpr int order_slots = 6;
 constexpr int model_servers = 3;
+constexpr int model_slots = 48;
 constexpr int shared_parts = 8;
 constexpr auto work_time = 60ms;
 constexpr auto pause_time = 20ms;
@@ -81,10 +82,9 @@
 }
 
 shop::shop(record& log, std::function<void(connection&, int)> const& streams,
-           json const& routes, int slots)
-    : m_log(log), m_store(log), m_slots(slots),
-      m_entry("external-ub-north-1", "ub-north", m_store.port(), sheet(),
-              m_files.path())
+           json const& routes)
+    : m_log(log), m_store(log), m_entry("external-ub-north-1", "ub-north",
+                                        m_store.port(), sheet(), m_files.path())
 {
     std::int64_t const born = unix_ms();
     for (int i = 0; i < order_servers; ++i)
@@ -99,7 +99,10 @@
     {
         m_servers.push_back(std::make_unique<server>(
             [streams, i](connection& caller) { streams(caller, i); }));
-        put_model_server(i);
+        json row = make_server_row("scribe", m_servers.back()->address(),
+                                   model_slots, born);
+        row["models"] = json::array({{{"name", "m0"}, {"version", 1}}});
+        m_store.put("servers", "model-" + std::to_string(i), row);
     }
     json all = routes;
     all.push_back(make_route("order", "/order/", "non_idempotent", "counter",
@@ -125,23 +128,6 @@
     stop();
 }
 
-void shop::put_model_server(int number)
-{
-    server const& model = *m_servers.at(order_servers + number);
-    json row = make_server_row("scribe", model.address(), m_slots, unix_ms());
-    row["models"] = json::array({{{"name", "m0"}, {"version", 1}}});
-    m_store.put("servers", "model-" + std::to_string(number), row);
-}
-
-void shop::set_down(int number, bool down)
-{
-    m_servers.at(order_servers + number)->set_down(down);
-    if (!down)
-    {
-        put_model_server(number);
-    }
-}
-
 bool shop::start()
 {
     m_entry.start({});
--- a/review/tools/shop.hpp
+++ b/review/tools/shop.hpp
@@ -24,7 +24,7 @@
     /** @param streams serves connections to a model server, by its number
      *  @param routes beside that of the orders */
     shop(record& log, std::function<void(connection&, int)> const& streams,
-         nlohmann::json const& routes, int slots = 48);
+         nlohmann::json const& routes);
     ~shop();
     shop(shop const&) = delete;
     shop& operator=(shop const&) = delete;
@@ -46,9 +46,6 @@
         return m_stopping;
     }
 
-    /** Ends a model server, or starts it again under its id. */
-    void set_down(int number, bool down);
-
     instance& entry()
     {
         return m_entry;
@@ -66,12 +63,10 @@
     void serve_orders(connection& caller);
     void send_orders(int number);
     bool has_run(std::string const& id);
-    void put_model_server(int number);
 
     record& m_log;
     temporary_folder m_files;
     store m_store;
-    int m_slots;
     std::mutex m_mutex;
     std::set<std::string> m_runs; ///< guarded by m_mutex
     std::vector<std::unique_ptr<server>> m_servers;
