--- a/review/tools/shop.cpp
+++ b/review/tools/shop.cpp
@@ -207,6 +207,9 @@
 
 void shop::send_orders(int number)
 {
+    // Spread over a round of work and pause, so that the callers do not all
+    // pause at the same time.
+    std::this_thread::sleep_for((work_time + pause_time) * number / callers);
     std::unique_ptr<connection> kept;
     int on_connection = 0;
     for (int i = 0; !m_stopping; ++i)
