--- a/review/tools/platform.cpp
+++ b/review/tools/platform.cpp
@@ -11,6 +11,7 @@
 #include <stdexcept>
 #include <sys/wait.h>
 #include <unistd.h>
+#include <utility>
 
 namespace review
 {
@@ -154,6 +155,38 @@
     m_rows.erase({table, key});
 }
 
+void store::keep_copy()
+{
+    std::lock_guard const lock(m_mutex);
+    m_copy = m_rows;
+    m_copied = m_version;
+}
+
+void store::come_back()
+{
+    std::lock_guard const lock(m_mutex);
+    std::map<row_key, row> const newest = std::exchange(m_rows, m_copy);
+    m_version = m_copied;
+    for (auto const& [key, item] : newest)
+    {
+        bool const is_others = key.first == "op" || key.first == "servers";
+        auto const found = m_rows.find(key);
+        if (is_others &&
+            (found == m_rows.end() || found->second.m_value != item.m_value))
+        {
+            m_rows[key] = {item.m_value, ++m_version};
+        }
+    }
+    ++m_era;
+    m_away = false;
+}
+
+std::string store::fields()
+{
+    return "Content-Type: application/json\r\nStore-Era: " +
+           std::to_string(m_era) + "\r\n";
+}
+
 std::string store::lease_holder()
 {
     std::lock_guard const lock(m_mutex);
@@ -166,12 +199,13 @@
     while (caller.read_request(request) == end_kind::complete)
     {
         std::string answer;
+        if (m_away)
+        {
+            return;
+        }
         if (request.target().starts_with("/v1/rows-get"))
         {
-            answer = make_answer(200,
-                                 "Content-Type: application/json\r\n"
-                                 "Store-Era: 1\r\n",
-                                 read_rows(request.target()));
+            answer = make_answer(200, fields(), read_rows(request.target()));
         }
         else if (request.target() == "/v1/rows-tx")
         {
@@ -182,7 +216,7 @@
         }
         else
         {
-            answer = make_answer(404, "Store-Era: 1\r\n", "");
+            answer = make_answer(404, fields(), "");
         }
         if (!caller.write(answer))
         {
@@ -270,9 +304,7 @@
             m_rows.erase({item.at("table"), item.at("key")});
         }
     }
-    return make_answer(holds ? 200 : 412,
-                       "Content-Type: application/json\r\nStore-Era: 1\r\n",
-                       answer.dump());
+    return make_answer(holds ? 200 : 412, fields(), answer.dump());
 }
 
 instance::instance(std::string name, std::string zone, int store_port,
--- a/review/tools/platform.hpp
+++ b/review/tools/platform.hpp
@@ -43,6 +43,19 @@
 
     void erase(std::string const& table, std::string const& key);
 
+    /** Keeps a copy of all rows and of the newest version. */
+    void keep_copy();
+
+    /** The store is away: it closes connections without an answer. */
+    void go_away()
+    {
+        m_away = true;
+    }
+
+    /** Comes back from the copy, in the next era. What the operator and the
+     *  servers wrote since is written again. */
+    void come_back();
+
     /** Time that a transaction takes to be answered. */
     void set_write_delay(milliseconds delay)
     {
@@ -79,6 +92,7 @@
 
     void serve(connection& caller);
     std::string read_rows(std::string const& target);
+    std::string fields();
     std::string transact(std::string const& body);
     std::int64_t now_ms() const;
 
@@ -87,7 +101,11 @@
     std::mutex m_mutex;
     std::map<row_key, row> m_rows; ///< guarded by m_mutex
     std::uint64_t m_version = 1;   ///< guarded by m_mutex
-    std::string m_lease_holder;    ///< guarded by m_mutex
+    std::map<row_key, row> m_copy; ///< guarded by m_mutex
+    std::uint64_t m_copied = 0;    ///< version of the copy; by m_mutex
+    std::atomic<int> m_era = 1;
+    std::atomic<bool> m_away = false;
+    std::string m_lease_holder; ///< guarded by m_mutex
     std::atomic<int> m_lease_writes = 0;
     std::atomic<int> m_pending_writes = 0;
     std::atomic<std::int64_t> m_write_delay = 0;
