Add: [review] a tenant that becomes isolated is still shared (case 4, WALL)

Cause: request_runner::cache_scope() keeps the shared scope when a tenant leaves it, so other tenants go on finding the parts that its requests made.

--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -1,7 +1,10 @@
-/** @file A model server ends some answers inside an event, with the last chunk;
- *  the instance passes them on as complete streams. */
+/** @file A tenant becomes isolated; other tenants go on using the KV cache that
+ *  its requests made before. */
 #include "../tools/shop.hpp"
 
+#include <array>
+#include <sstream>
+
 namespace
 {
 
@@ -9,146 +12,232 @@
 using nlohmann::json;
 using namespace std::chrono_literals;
 
-constexpr auto steady_time = 3s;
-constexpr auto trouble_time = 5500ms;
-constexpr auto calm_time = 2s;
-constexpr int troubles = 2;
+constexpr int model_servers = 3;
+constexpr int model_slots = 48;
+constexpr int subjects = 8;
 constexpr int events = 20;
-constexpr int stream_callers = 12;
 
-/** One answer in this many breaks off. */
-constexpr int cut_interval = 50;
+/** configApplyMs of the sheet, and a second more. */
+constexpr auto apply_time = 3s;
+
+/** What a model server keeps: part by salt and all parts before it, and the
+ *  tenant whose request made it. */
+using kept_parts = std::map<std::string, std::string>;
 
-struct cutter
+/** A use of a part that a request of another tenant made. */
+struct shared_use
 {
-    std::atomic<bool> m_active = false;
-    std::atomic<int> m_answers = 0;
+    std::string m_request;
+    std::string m_user;
+    std::string m_maker;
+};
 
-    bool cuts_next()
+/** Model servers, as the pages describe their cache. */
+class model_service
+{
+public:
+    explicit model_service(record& log) : m_log(log)
     {
-        return m_active && ++m_answers % cut_interval == 0;
+        for (int i = 0; i < model_servers; ++i)
+        {
+            m_servers.push_back(std::make_unique<server>(
+                [this, i](connection& caller) { serve(caller, i); }));
+        }
     }
-};
 
-struct stream_counts
-{
-    std::atomic<int> m_complete = 0; ///< with all events
-    std::atomic<int> m_cut = 0;      ///< the caller sees that they broke off
-    std::atomic<int> m_false = 0;    ///< end as complete without all events
-};
+    ~model_service()
+    {
+        for (auto const& item : m_servers)
+        {
+            item->stop();
+        }
+    }
 
-/** A model server: 20 events in 200 ms, from the one that is asked for. */
-void serve_streams(connection& caller, cutter* fault, record& log)
-{
-    message request;
-    while (caller.read_request(request) == end_kind::complete)
+    model_service(model_service const&) = delete;
+    model_service& operator=(model_service const&) = delete;
+
+    void enter(store& rows) const
     {
-        bool const is_cut = fault != nullptr && fault->cuts_next();
-        caller.write(stream_head(request));
-        for (int i = std::atoi(request.field("Last-Event-Id").c_str()) + 1;
-             i <= events; ++i)
+        std::int64_t const born = unix_ms();
+        for (std::size_t i = 0; i < m_servers.size(); ++i)
         {
-            std::this_thread::sleep_for(10ms);
-            std::string const event = make_event(i);
-            if (is_cut && i == events / 2)
-            {
-                log.add("faulty server: broke off inside event " +
-                        std::to_string(i) + " of " +
-                        request.field("X-Attempt-Id"));
-                caller.write(make_chunk(event.substr(0, event.size() - 4)));
-                break;
-            }
-            caller.write(make_chunk(event));
+            json row = make_server_row("scribe", m_servers[i]->address(),
+                                       model_slots, born);
+            row["models"] = json::array({{{"name", "m0"}, {"version", 1}}});
+            rows.put("servers", "model-" + std::to_string(i), row);
         }
-        if (!caller.write("0\r\n\r\n"))
+    }
+
+    std::vector<shared_use> uses()
+    {
+        std::lock_guard const lock(m_mutex);
+        return m_uses;
+    }
+
+private:
+    void serve(connection& caller, int number)
+    {
+        message request;
+        while (caller.read_request(request) == end_kind::complete)
         {
-            return;
+            read_prompt(request, number);
+            caller.write(stream_head(request));
+            for (int i = 1; i <= events; ++i)
+            {
+                std::this_thread::sleep_for(5ms);
+                caller.write(make_chunk(make_event(i)));
+            }
+            if (!caller.write("0\r\n\r\n"))
+            {
+                return;
+            }
         }
     }
-}
 
-void send_streams(shop& deployment, std::string const& path, int number,
-                  stream_counts& counts, record& log)
-{
-    std::string const last = make_event(events);
-    for (int i = 0; !deployment.is_stopping(); ++i)
+    void read_prompt(message const& request, int number)
     {
-        std::string const id =
-            "stream-" + std::to_string(number) + "-" + std::to_string(i);
-        auto const caller = connection::open(deployment.entry().caller_port());
-        message answer;
-        if (caller && caller->write(stream_request(path, id, 5000)))
+        std::string const tenant = request.field("X-Tenant");
+        std::string key = request.field("X-Cache-Salt");
+        std::stringstream parts(request.field("X-Prompt-Prefix"));
+        std::string line = "model-" + std::to_string(number) + ": " +
+                           request.field("X-Attempt-Id") + " of " + tenant +
+                           ", salt " + key;
+        std::lock_guard const lock(m_mutex);
+        for (std::string part; std::getline(parts, part, ',');)
         {
-            end_kind const ended = caller->read_answer(answer, 5500ms);
-            bool const is_success =
-                ended == end_kind::complete && answer.status() == 200;
-            bool const has_all = answer.m_body.ends_with(last);
-            counts.m_complete += is_success && has_all ? 1 : 0;
-            counts.m_cut += is_success ? 0 : 1;
-            if (is_success && !has_all)
+            key += "/" + part;
+            auto const [kept, is_new] =
+                m_kept[static_cast<std::size_t>(number)].try_emplace(key,
+                                                                     tenant);
+            if (!is_new)
+            {
+                line += ", uses " + part + " made by " + kept->second;
+            }
+            if (kept->second != tenant)
             {
-                ++counts.m_false;
-                std::string const end =
-                    json(answer.m_body.substr(answer.m_body.size() - 10))
-                        .dump();
-                std::string line = "caller: " + id;
-                line.append(" on ").append(path);
-                line.append(" ended as complete with ").append(end);
-                log.add(line);
+                m_uses.push_back(
+                    {request.field("X-Attempt-Id"), tenant, kept->second});
             }
         }
-        std::this_thread::sleep_for(20ms);
+        m_log.add(line);
     }
+
+    record& m_log;
+    std::mutex m_mutex;
+    std::array<kept_parts, model_servers> m_kept; ///< guarded by m_mutex
+    std::vector<shared_use> m_uses;               ///< guarded by m_mutex
+    std::vector<std::unique_ptr<server>> m_servers;
+};
+
+json make_tenant(std::string const& name, bool isolated)
+{
+    return {
+        {"name", name},          {"apiKeys", json::array({"key-of-" + name})},
+        {"priority", 1},         {"unit", "tokens"},
+        {"uncachedTokens", 200}, {"isolated", isolated},
+        {"ratePerS", 257082},    {"burst", 257082}};
 }
 
-int run(record& log)
+json make_configuration(int version, bool first_is_isolated)
 {
-    cutter fault;
-    json const translate = make_route("translate", "/translate/", "streaming",
-                                      "scribe", 15000, 800, 1);
-    json caption =
+    json route =
         make_route("caption", "/caption/", "streaming", "scribe", 5000, 600, 2);
-    caption["resumable"] = true;
-    shop deployment(
-        log,
-        [&](connection& caller, int number)
-        { serve_streams(caller, number == 0 ? &fault : nullptr, log); },
-        json::array({translate, caption}));
-    if (!deployment.start())
-    {
-        return 2;
-    }
-    stream_counts counts;
-    for (int i = 0; i < stream_callers; ++i)
+    route["public"] = false;
+    route["resumable"] = true;
+    json const engine = {{"kvCapacity", 106776},
+                         {"models", json::array({{{"name", "m0"}}})}};
+    return {
+        {"version", version},
+        {"routes", json::array({route})},
+        {"services", json::array({{{"name", "scribe"}, {"engine", engine}}})},
+        {"tenants", json::array({make_tenant("museum", first_is_isolated),
+                                 make_tenant("lodge", false)})},
+        {"limits",
+         {{"maxHeaderBytes", 16384},
+          {"maxBodyBytes", 4194304},
+          {"headerTimeoutMs", 3000},
+          {"idleTimeoutMs", 15000}}}};
+}
+
+std::string caption_request(std::string const& tenant, std::string const& id,
+                            int subject)
+{
+    std::string text = "POST /caption/1 HTTP/1.1\r\nHost: shop.example\r\n";
+    text += "X-Attempt-Id: " + id + "\r\n";
+    text += "X-Deadline-Ms: 5000\r\n";
+    text += "X-Credential: key-of-" + tenant + "\r\n";
+    text += "X-Model: m0\r\nX-Token-Count: 9190,13\r\n";
+    text += "X-Prompt-Prefix: 5c1e07a:2520,91bd3f0" + std::to_string(subject);
+    text += ":3780," + id + ":2890\r\n";
+    text += "Content-Length: 4\r\n\r\ntext";
+    return text;
+}
+
+/** Asks for a caption on each subject; the catalogue entries are shared.
+ *  @return number of whole answers */
+int ask(instance const& entry, std::string const& tenant,
+        std::string const& round)
+{
+    int answered = 0;
+    for (int i = 0; i < subjects; ++i)
     {
-        std::string const path = i % 2 == 0 ? "/translate/1" : "/caption/1";
-        deployment.run_thread(
-            [&, i, path] { send_streams(deployment, path, i, counts, log); });
+        auto const caller = connection::open(entry.caller_port());
+        std::string id = tenant;
+        id += "-" + round + "-" + std::to_string(i);
+        message answer;
+        bool const whole =
+            caller && caller->write(caption_request(tenant, id, i)) &&
+            caller->read_answer(answer, 5s) == end_kind::complete &&
+            answer.status() == 200;
+        answered += whole ? 1 : 0;
     }
-    std::this_thread::sleep_for(steady_time);
-    for (int i = 0; i < troubles; ++i)
+    return answered;
+}
+
+int run(record& log)
+{
+    temporary_folder files;
+    store rows(log);
+    model_service servers(log);
+    servers.enter(rows);
+    rows.put("op", "version/m0", {{"model", "m0"}, {"version", 1}});
+    rows.put("op", "config", make_configuration(7, false));
+    instance entry("external-ub-north-1", "ub-north", rows.port(), sheet(),
+                   files.path());
+    entry.start({});
+    if (!wait_until([&] { return entry.is_ready(); }, 15s))
     {
-        if (has_trouble())
-        {
-            log.add("trouble begins");
-            fault.m_active = true;
-        }
-        std::this_thread::sleep_for(trouble_time);
-        fault.m_active = false;
-        log.add("trouble ends");
-        std::this_thread::sleep_for(calm_time);
+        return 2;
     }
-    deployment.stop();
-    log.add("streams: " + std::to_string(counts.m_complete) + " complete, " +
-            std::to_string(counts.m_cut) + " broken off, as the caller sees, " +
-            std::to_string(counts.m_false) +
-            " ended as complete before their last event (0 permitted)");
-    if (counts.m_complete == 0)
+    std::this_thread::sleep_for(1s);
+    int answered = ask(entry, "museum", "before");
+    bool const is_isolated = has_trouble();
+    rows.put("op", "config", make_configuration(12, is_isolated));
+    log.add(std::string("operator: configuration 12, museum is ") +
+            (is_isolated ? "isolated" : "not isolated"));
+    std::this_thread::sleep_for(apply_time);
+    std::size_t const uses_before = servers.uses().size();
+    log.add("requests that are sent after configApplyMs");
+    answered += ask(entry, "lodge", "after");
+    answered += ask(entry, "museum", "after");
+    std::this_thread::sleep_for(200ms);
+    std::vector<shared_use> const uses = servers.uses();
+    entry.kill();
+    rows.stop();
+    std::size_t broken = 0;
+    for (std::size_t i = uses_before; i < uses.size(); ++i)
     {
-        return 2;
+        bool const one_is_isolated =
+            is_isolated &&
+            (uses[i].m_user == "museum" || uses[i].m_maker == "museum");
+        broken += one_is_isolated ? 1 : 0;
     }
-    log.add(counts.m_false > 0 ? "ORDER is broken" : "ORDER holds");
-    return counts.m_false > 0 ? 1 : 0;
+    log.add(std::to_string(answered) + " of " + std::to_string(3 * subjects) +
+            " requests answered; " + std::to_string(uses.size() - uses_before) +
+            " uses of parts of another tenant, " + std::to_string(broken) +
+            " of them with an isolated one");
+    log.add(broken > 0 ? "WALL is broken" : "WALL holds");
+    return answered < 3 * subjects ? 2 : broken > 0 ? 1 : 0;
 }
 
 } // namespace
