--- a/review/5/case.cpp
+++ b/review/5/case.cpp
@@ -1,9 +1,7 @@
-/** @file All processes are killed; streams of before are refused when their
- *  callers take them up again. */
+/** @file A model server sends bytes without end where the size of a chunk is
+ *  due; the instance keeps them all. */
 #include "../tools/shop.hpp"
 
-#include <array>
-
 namespace
 {
 
@@ -11,46 +9,51 @@
 using nlohmann::json;
 using namespace std::chrono_literals;
 
-constexpr int events = 73;
-constexpr auto event_interval = 100ms;
-constexpr int streams = 20;
-constexpr int deadline_ms = 15000;
-
-/** The instance runs for this long before the streams begin. */
-constexpr auto steady_time = 5s;
-
-/** Time of the streams before they break. */
-constexpr auto first_part = 1500ms;
-
-constexpr auto restart_delay = 800ms;
+constexpr auto steady_time = 4s;
+constexpr auto trouble_time = 8s;
+constexpr auto restart_delay = 500ms;
+constexpr int events = 20;
 
-/** When callers take a stream up again, after it broke. The machine is in touch
- *  at the last one: stableMs has passed since its start. */
-constexpr std::array<milliseconds, 3> take_up_at{1500ms, 3000ms, 5000ms};
+/** What an instance's own link carries, bytes a second: 700 Mbit/s. */
+constexpr double link_rate = 700e6 / 8;
 
-struct stream
+void send_without_end(connection& caller, record& log)
 {
-    std::string m_id;
-    int m_last = 0; ///< id of its last event
-    int m_status = 0;
-    bool m_whole = false; ///< ended with its last event
-};
+    std::string const bytes(64 << 10, 'x');
+    std::size_t sent = 0;
+    clock::time_point const began = clock::now();
+    while (caller.write(bytes))
+    {
+        sent += bytes.size();
+        std::chrono::duration<double> const due(static_cast<double>(sent) /
+                                                link_rate);
+        std::this_thread::sleep_until(
+            began + std::chrono::duration_cast<clock::duration>(due));
+    }
+    log.add("server in trouble: the caller closed after " +
+            std::to_string(sent) + " bytes");
+}
 
-/** A model server that goes on after Last-Event-Id. */
-void serve_streams(connection& caller)
+/** A model server: 20 events in 400 ms. In trouble, a head and then bytes
+ *  without a line end until the caller closes. */
+void serve_streams(connection& caller, bool may_fail,
+                   std::atomic<bool> const& in_trouble, record& log)
 {
     message request;
     while (caller.read_request(request) == end_kind::complete)
     {
         caller.write(stream_head(request));
-        for (int i = std::atoi(request.field("Last-Event-Id").c_str()) + 1;
-             i <= events; ++i)
+        if (may_fail && in_trouble)
         {
-            std::this_thread::sleep_for(event_interval);
-            if (!caller.write(make_chunk(make_event(i))))
-            {
-                return;
-            }
+            log.add("server in trouble: bytes without end for " +
+                    request.field("X-Attempt-Id"));
+            send_without_end(caller, log);
+            return;
+        }
+        for (int i = 1; i <= events; ++i)
+        {
+            std::this_thread::sleep_for(20ms);
+            caller.write(make_chunk(make_event(i)));
         }
         if (!caller.write("0\r\n\r\n"))
         {
@@ -59,174 +62,86 @@
     }
 }
 
-/** @return id of the last whole event in the bytes of a stream; 0: none */
-int last_event(std::string const& bytes)
-{
-    std::size_t const end = bytes.rfind("\n\n");
-    std::size_t const begin =
-        end == std::string::npos ? end : bytes.rfind("id: ", end);
-    return begin == std::string::npos ? 0
-                                      : std::atoi(bytes.c_str() + begin + 4);
-}
-
-/** Sends a request for a stream and reads the answer. */
-void read_stream(shop& deployment, stream& item, std::string const& request,
-                 milliseconds timeout)
-{
-    auto const caller = connection::open(deployment.entry().caller_port());
-    message answer;
-    item.m_status = 0;
-    item.m_whole = false;
-    if (caller && caller->write(request))
-    {
-        bool const ended =
-            caller->read_answer(answer, timeout) == end_kind::complete;
-        item.m_status = answer.status();
-        item.m_whole = ended && answer.m_body.ends_with(make_event(events));
-        item.m_last = std::max(item.m_last, last_event(answer.m_body));
-    }
-}
-
-/** Takes a stream up again until it goes on. */
-void take_up(shop& deployment, stream& item, clock::time_point began,
-             clock::time_point broke)
+/** Starts translations one after the other. */
+void send_streams(shop& deployment, int number)
 {
-    for (std::size_t i = 0; i < take_up_at.size() && item.m_status != 200; ++i)
+    for (int i = 0; !deployment.is_stopping(); ++i)
     {
-        std::this_thread::sleep_until(broke + take_up_at[i]);
-        auto const left =
-            milliseconds(deadline_ms) -
-            std::chrono::duration_cast<milliseconds>(clock::now() - began);
-        std::string request =
-            stream_request("/translate/1", item.m_id + "-" + std::to_string(i),
-                           static_cast<int>(left.count()));
-        request.insert(request.find("X-Model"),
-                       "Resumes: " + item.m_id + "\r\nLast-Event-Id: " +
-                           std::to_string(item.m_last) + "\r\n");
-        read_stream(deployment, item, request, left);
-    }
-}
-
-std::vector<stream> make_streams(std::string const& name)
-{
-    std::vector<stream> items(streams);
-    for (std::size_t i = 0; i < items.size(); ++i)
-    {
-        items[i].m_id = name + "-" + std::to_string(i);
-    }
-    return items;
-}
-
-/** Runs a function for each stream, in threads of their own. */
-std::vector<std::thread> for_each(std::vector<stream>& items,
-                                  std::function<void(stream&)> const& run_one)
-{
-    std::vector<std::thread> threads;
-    threads.reserve(items.size());
-    for (stream& item : items)
-    {
-        threads.emplace_back([run_one, &item] { run_one(item); });
-    }
-    return threads;
-}
-
-void join(std::vector<std::thread>& threads)
-{
-    for (std::thread& item : threads)
-    {
-        item.join();
+        auto const caller = connection::open(deployment.entry().caller_port());
+        if (caller)
+        {
+            caller->write(stream_request("/translate/1",
+                                         "stream-" + std::to_string(number) +
+                                             "-" + std::to_string(i),
+                                         15000));
+            message answer;
+            clock::time_point const until = clock::now() + 15s;
+            while (!deployment.is_stopping() && clock::now() < until &&
+                   !caller->is_closed() &&
+                   caller->read_answer(answer, 500ms) == end_kind::timed_out)
+            {
+            }
+        }
+        std::this_thread::sleep_for(100ms);
     }
 }
 
-int judge(std::vector<stream> const& broken, std::vector<stream> const& fresh,
-          record& log)
+/** The platform kills a process over its memory limit and starts it again. */
+void limit_memory(shop& deployment, record& log)
 {
-    int went_on = 0;
-    int began = 0;
-    for (stream const& item : broken)
-    {
-        went_on += item.m_whole ? 1 : 0;
-        log.add("caller: " + item.m_id + ", last event " +
-                std::to_string(item.m_last) + ", last answer " +
-                std::to_string(item.m_status));
-    }
-    for (stream const& item : fresh)
+    std::size_t const limit = sheet().m_memory_mb;
+    std::size_t peak = 0;
+    int kills = 0;
+    while (!deployment.is_stopping())
     {
-        began += item.m_status == 200 ? 1 : 0;
-    }
-    log.add("of " + std::to_string(streams) + " streams that were taken up " +
-            std::to_string(went_on) + " went on; of " +
-            std::to_string(streams) + " new ones " + std::to_string(began) +
-            " began");
-    if (began == 0)
-    {
-        return 2;
+        std::size_t const used = deployment.entry().memory() >> 20U;
+        peak = std::max(peak, used);
+        if (used > limit)
+        {
+            ++kills;
+            log.add("platform: the process has " + std::to_string(used) +
+                    " MB of " + std::to_string(limit) + " MB, killed");
+            deployment.entry().kill();
+            std::this_thread::sleep_for(restart_delay);
+            deployment.entry().start({});
+        }
+        std::this_thread::sleep_for(10ms);
     }
-    bool const is_broken = went_on * 2 < began;
-    log.add(is_broken ? "LOST is broken" : "LOST holds");
-    return is_broken ? 1 : 0;
+    log.add("platform: peak of the process " + std::to_string(peak) +
+            " MB, killed " + std::to_string(kills) + " times");
 }
 
 int run(record& log)
 {
-    json route = make_route("translate", "/translate/", "streaming", "scribe",
-                            deadline_ms, 800, 2);
-    route["resumable"] = true;
+    std::atomic<bool> in_trouble = false;
     shop deployment(
-        log, [](connection& caller, int) { serve_streams(caller); },
-        json::array({route}));
+        log,
+        [&](connection& caller, int number)
+        { serve_streams(caller, number == 0, in_trouble, log); },
+        json::array({make_route("translate", "/translate/", "streaming",
+                                "scribe", 15000, 800, 1)}));
     if (!deployment.start())
     {
         return 2;
     }
-    std::this_thread::sleep_for(steady_time);
-    std::vector<stream> broken = make_streams("stream");
-    clock::time_point const began = clock::now();
-    std::vector<std::thread> threads = for_each(
-        broken,
-        [&](stream& item)
-        {
-            read_stream(deployment, item,
-                        stream_request("/translate/1", item.m_id, deadline_ms),
-                        first_part);
-        });
-    if (has_trouble())
-    {
-        std::this_thread::sleep_until(began + first_part - 100ms);
-        deployment.entry().kill();
-        log.add("all processes of the system are killed");
-    }
-    join(threads);
-    clock::time_point const broke = clock::now();
-    log.add("the streams have lost their connections");
-    for (stream& item : broken)
+    deployment.start_callers();
+    for (int i = 0; i < 2; ++i)
     {
-        item.m_status = 0;
+        deployment.run_thread([&, i] { send_streams(deployment, i); });
     }
+    deployment.run_thread([&] { limit_memory(deployment, log); });
+    std::this_thread::sleep_for(steady_time);
     if (has_trouble())
     {
-        std::this_thread::sleep_until(broke + restart_delay);
-        deployment.entry().start({});
-        log.add("the process is started again");
+        log.add("trouble begins");
+        in_trouble = true;
     }
-    threads = for_each(broken, [&](stream& item)
-                       { take_up(deployment, item, began, broke); });
-    std::this_thread::sleep_until(broke + take_up_at.back());
-    log.add(deployment.entry().is_ready() ? "the instance is ready"
-                                          : "the instance is not ready");
-    std::vector<stream> fresh = make_streams("new");
-    std::vector<std::thread> others = for_each(
-        fresh,
-        [&](stream& item)
-        {
-            read_stream(deployment, item,
-                        stream_request("/translate/1", item.m_id, deadline_ms),
-                        2s);
-        });
-    join(others);
-    join(threads);
+    std::this_thread::sleep_for(trouble_time);
+    in_trouble = false;
+    log.add("trouble ends");
+    std::this_thread::sleep_for(1s);
     deployment.stop();
-    return judge(broken, fresh, log);
+    return deployment.judge();
 }
 
 } // namespace
