Add: [review] two holders of the order lease after a store drill (case 3, ONE)

Cause: the rollout controller learns of a restored store only through the reads of the configuration and of the list of servers. A read of the lease row that comes first finds the row of before, or none, and takes the lease without the wait after a restore.

--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -1,6 +1,11 @@
-/** @file A request that is larger than the memory of every engine ends the
- *  process. */
-#include "../tools/shop.hpp"
+/** @file After the store came back from a copy, an instance takes the lease of
+ *  orders at once, though the former holder has just given one. */
+#include "../tools/engine.hpp"
+
+#include <algorithm>
+#include <csignal>
+#include <iostream>
+#include <optional>
 
 namespace
 {
@@ -9,126 +14,296 @@
 using nlohmann::json;
 using namespace std::chrono_literals;
 
-constexpr auto steady_time = 3s;
-constexpr auto restart_delay = 500ms;
-constexpr int large_requests = 8;
-constexpr auto large_interval = 2s;
-constexpr int events = 20;
-constexpr int stream_callers = 2;
-
-/** Prompt tokens and the maximum number of output tokens: 2^53 - 1, the largest
- *  whole number that every JSON library represents. */
-constexpr char const* large_count = "826,9007199254740991";
-constexpr char const* usual_count = "826,73";
-
-/** A model server: 20 events in 200 ms. What is larger than its memory is
- *  rejected as if it were full. */
-void serve_streams(connection& caller, record& log)
+constexpr char const* model = "m0";
+constexpr int engines = 2;
+constexpr int rounds = 12;
+constexpr auto heartbeat = 1200ms;
+
+/** Without orders, before the copy is made. */
+constexpr auto steady_time = 500ms;
+
+constexpr auto copy_before_naming = 1s;
+
+/** From the last order of the holder on. */
+constexpr auto power_lost_after = 50ms;
+constexpr auto named_after = 100ms;
+constexpr auto away_after = 1350ms;
+constexpr auto back_after = 1650ms;
+
+/** End of a round; the machine of the holder stays dark until then, for less
+ *  than the 3.5 s of the site file. */
+constexpr auto end_after = 3400ms;
+
+/** leaseMs of the sheet. */
+constexpr auto lease_time = 3000ms;
+
+/** A fleet of instances before model servers of one model. */
+class fleet
 {
-    message request;
-    while (caller.read_request(request) == end_kind::complete)
+public:
+    explicit fleet(record& log) : m_log(log), m_store(log)
     {
-        if (request.field("X-Token-Count") == large_count)
+        json route = make_route("translate", "/translate/", "streaming",
+                                "scribe", 15000, 800, 1);
+        json const engine_settings = {
+            {"kvCapacity", 106776},
+            {"models", json::array({{{"name", model}}})}};
+        name(1);
+        m_store.put("op", "config",
+                    {{"version", 7},
+                     {"routes", json::array({route})},
+                     {"services", json::array({{{"name", "scribe"},
+                                                {"engine", engine_settings}}})},
+                     {"limits",
+                      {{"maxHeaderBytes", 16384},
+                       {"maxBodyBytes", 4194304},
+                       {"headerTimeoutMs", 3000},
+                       {"idleTimeoutMs", 15000}}}});
+        for (int i = 0; i < engines; ++i)
         {
-            log.add("server: " + request.field("X-Attempt-Id") +
-                    " is larger than the memory, rejected");
-            caller.write(make_answer(
-                503, answer_fields(request) + "X-Not-Executed: 1\r\n", ""));
-            continue;
+            m_engines.push_back(std::make_unique<engine>(
+                "model-" + std::to_string(i), model, m_store, log));
         }
-        caller.write(stream_head(request));
-        for (int i = 1; i <= events; ++i)
+        for (std::string const zone :
+             {"ub-north", "ub-south", "ub-east", "ub-west"})
+        {
+            m_instances.push_back(std::make_unique<instance>(
+                "external-" + zone + "-1", zone, m_store.port(), sheet(),
+                m_files.path()));
+        }
+        m_beats = std::thread([this] { send_beats(); });
+    }
+
+    ~fleet()
+    {
+        m_stopping = true;
+        m_beats.join();
+        for (auto const& item : m_instances)
         {
-            std::this_thread::sleep_for(10ms);
-            caller.write(make_chunk(make_event(i)));
+            item->kill();
         }
-        if (!caller.write("0\r\n\r\n"))
+        for (auto const& item : m_engines)
         {
-            return;
+            item->stop();
         }
+        m_store.stop();
     }
-}
 
-/** @return status of the answer; 0: there was none */
-int translate(instance const& entry, std::string const& id,
-              std::string const& tokens)
-{
-    auto const caller = connection::open(entry.caller_port());
-    message answer;
-    std::string request = stream_request("/translate/1", id, 15000);
-    request.replace(request.find(usual_count), std::string(usual_count).size(),
-                    tokens);
-    return caller && caller->write(request) &&
-                   caller->read_answer(answer, 15s) == end_kind::complete
-               ? answer.status()
-               : 0;
-}
+    fleet(fleet const&) = delete;
+    fleet& operator=(fleet const&) = delete;
 
-void send_streams(shop& deployment, int number)
-{
-    for (int i = 0; !deployment.is_stopping(); ++i)
+    void start(std::string const& name)
     {
-        translate(deployment.entry(),
-                  "stream-" + std::to_string(number) + "-" + std::to_string(i),
-                  usual_count);
-        std::this_thread::sleep_for(50ms);
+        std::vector<std::string> seeds;
+        for (auto const& item : m_instances)
+        {
+            seeds.push_back(item->peer_address());
+        }
+        seeds.resize(std::min<std::size_t>(seeds.size(), 3));
+        find(name).start(seeds);
+        m_log.add(name + " is started");
+    }
+
+    void start_all()
+    {
+        for (auto const& item : m_instances)
+        {
+            start(item->name());
+        }
+    }
+
+    bool is_ready() const
+    {
+        return std::all_of(m_instances.begin(), m_instances.end(),
+                           [](auto const& item) { return item->is_ready(); });
+    }
+
+    instance& find(std::string const& name)
+    {
+        auto const found = std::find_if(m_instances.begin(), m_instances.end(),
+                                        [&](auto const& item)
+                                        { return item->name() == name; });
+        return **found;
+    }
+
+    /** The operator names new weights. */
+    void name(std::int64_t version)
+    {
+        for (auto const& item : m_engines)
+        {
+            item->note_named(version);
+        }
+        m_store.put("op", std::string("version/") + model,
+                    {{"model", model}, {"version", version}});
+        m_log.add("operator: weights " + std::to_string(version) +
+                  " are named");
+    }
+
+    /** @return the order with this number, counted from 1 over all servers */
+    std::optional<received_order> order(std::size_t number)
+    {
+        std::vector<received_order> all;
+        for (auto const& item : m_engines)
+        {
+            std::vector<received_order> const some = item->orders();
+            all.insert(all.end(), some.begin(), some.end());
+        }
+        std::sort(all.begin(), all.end(),
+                  [](received_order const& a, received_order const& b)
+                  { return a.m_at < b.m_at; });
+        return all.size() < number ? std::nullopt
+                                   : std::optional(all[number - 1]);
     }
-}
 
-/** The platform starts a process again that has ended. */
-void restart(shop& deployment, std::atomic<int>& ends, record& log)
+    store& rows()
+    {
+        return m_store;
+    }
+
+    std::vector<std::unique_ptr<engine>> const& model_servers() const
+    {
+        return m_engines;
+    }
+
+private:
+    void send_beats()
+    {
+        while (!m_stopping)
+        {
+            for (auto const& item : m_engines)
+            {
+                item->beat();
+            }
+            for (auto const until = clock::now() + heartbeat;
+                 !m_stopping && clock::now() < until;)
+            {
+                std::this_thread::sleep_for(20ms);
+            }
+        }
+    }
+
+    record& m_log;
+    temporary_folder m_files;
+    store m_store;
+    std::vector<std::unique_ptr<engine>> m_engines;
+    std::vector<std::unique_ptr<instance>> m_instances;
+    std::atomic<bool> m_stopping = false;
+    std::thread m_beats;
+};
+
+/** @return whether orders of one server break the rule */
+bool is_broken(engine& server, record& log)
 {
-    while (!deployment.is_stopping())
+    bool broken = false;
+    std::vector<received_order> const orders = server.orders();
+    for (std::size_t i = 1; i < orders.size(); ++i)
     {
-        if (deployment.entry().has_ended())
+        received_order const& before = orders[i - 1];
+        received_order const& after = orders[i];
+        auto const gap =
+            std::chrono::duration_cast<milliseconds>(after.m_at - before.m_at);
+        bool const other = before.m_holder != after.m_holder;
+        bool const is_turn = other && gap < lease_time;
+        bool const is_shared = other && before.m_token == after.m_token;
+        bool const is_lower = after.m_token < before.m_token;
+        if (is_turn || is_shared || is_lower)
         {
-            ++ends;
-            log.add("platform: the process has ended by itself");
-            std::this_thread::sleep_for(restart_delay);
-            deployment.entry().start({});
+            broken = true;
+            log.add(server.id() + ": an order by " + after.m_holder + " " +
+                    std::to_string(gap.count()) + " ms after one by " +
+                    before.m_holder +
+                    (is_turn ? ", a turn within leaseMs" : "") +
+                    (is_shared ? ", one token" : "") +
+                    (is_lower ? ", a lower token" : ""));
         }
-        std::this_thread::sleep_for(10ms);
     }
+    return broken;
 }
 
-int run(record& log)
+/** @return exit status of the case */
+int play(record& log)
 {
-    shop deployment(
-        log, [&log](connection& caller, int) { serve_streams(caller, log); },
-        json::array({make_route("translate", "/translate/", "streaming",
-                                "scribe", 15000, 800, 1)}));
-    if (!deployment.start())
+    fleet system(log);
+    system.start_all();
+    if (!wait_until([&] { return system.is_ready(); }, 15s))
+    {
+        return 2;
+    }
+    std::this_thread::sleep_for(steady_time);
+    system.rows().keep_copy();
+    std::this_thread::sleep_for(copy_before_naming);
+    system.name(2);
+    std::optional<received_order> last;
+    wait_until([&] { return (last = system.order(engines)).has_value(); }, 10s);
+    if (!last)
     {
         return 2;
     }
-    std::atomic<int> ends = 0;
-    deployment.start_callers();
-    for (int i = 0; i < stream_callers; ++i)
+    std::this_thread::sleep_until(last->m_at + power_lost_after);
+    if (has_trouble())
     {
-        deployment.run_thread([&, i] { send_streams(deployment, i); });
+        system.find(last->m_holder).kill();
+        log.add(last->m_holder + " loses power");
     }
-    deployment.run_thread([&] { restart(deployment, ends, log); });
-    std::this_thread::sleep_for(steady_time);
-    for (int i = 0; i < large_requests; ++i)
-    {
-        std::string const tokens = has_trouble() ? large_count : usual_count;
-        std::string const id = "large-" + std::to_string(i);
-        std::string line = "caller: " + id;
-        line.append(" with X-Token-Count ").append(tokens);
-        log.add(line);
-        int const status = translate(deployment.entry(), id, tokens);
-        log.add("caller: " + id + " got " +
-                (status == 0 ? "no answer" : std::to_string(status)));
-        std::this_thread::sleep_for(large_interval);
-    }
-    deployment.stop();
-    log.add("the process ended by itself " + std::to_string(ends) + " times");
-    return deployment.judge();
+    std::this_thread::sleep_until(last->m_at + named_after);
+    system.name(3);
+    std::this_thread::sleep_until(last->m_at + away_after);
+    if (has_trouble())
+    {
+        log.add("store: away");
+        system.rows().go_away();
+    }
+    std::this_thread::sleep_until(last->m_at + back_after);
+    if (has_trouble())
+    {
+        system.rows().come_back();
+        log.add("store: back from a copy");
+    }
+    std::this_thread::sleep_until(last->m_at + end_after);
+    bool broken = false;
+    for (auto const& item : system.model_servers())
+    {
+        broken = is_broken(*item, log) || broken;
+    }
+    return broken ? 1 : 0;
+}
+
+int run(record& log)
+{
+    int broken = 0;
+    for (int i = 0; i < rounds; ++i)
+    {
+        log.add("round " + std::to_string(i + 1));
+        int const result = play(log);
+        if (result == 2)
+        {
+            return 2;
+        }
+        broken += result;
+    }
+    log.add("ONE is broken in " + std::to_string(broken) + " of " +
+            std::to_string(rounds) + " rounds");
+    return broken > 0 ? 1 : 0;
 }
 
 } // namespace
 
 int main(int argc, char** argv)
 {
-    return run_case(argc, argv, &run);
+    if (argc != 2)
+    {
+        std::cerr << "usage: " << argv[0] << " FOLDER\n";
+        return 2;
+    }
+    std::signal(SIGPIPE, SIG_IGN);
+    try
+    {
+        record log(std::string(argv[1]) + "/record.txt");
+        return run(log);
+    }
+    catch (std::exception const& failure)
+    {
+        std::cerr << failure.what() << '\n';
+        return 2;
+    }
 }
--- a/review/tools/net.cpp
+++ b/review/tools/net.cpp
@@ -368,10 +368,16 @@
     // Below the ports that the kernel gives to connecting sockets, so that
     // none of them takes the port before the instance listens on it.
     static std::mt19937 generator{std::random_device{}()};
+    static std::set<int> given;
     std::uniform_int_distribution<int> distribution(20000, 32000);
     for (;;)
     {
         int const port = distribution(generator);
+        // An instance that is to listen on it may not have been started yet.
+        if (!given.insert(port).second)
+        {
+            continue;
+        }
         int const descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         sockaddr_in const address = loopback(port);
         bool const is_free =
