--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -1,5 +1,5 @@
-/** @file A model server spoils some answers with an event that has a very long
- *  id, and breaks off; the instance ends by a fault in its memory. */
+/** @file The operator takes the last tenant away; requests with its key, with
+ *  any other key and with none run from then on. */
 #include "../tools/shop.hpp"
 
 namespace
@@ -9,140 +9,171 @@
 using nlohmann::json;
 using namespace std::chrono_literals;
 
-constexpr auto steady_time = 3s;
-constexpr auto trouble_time = 5500ms;
-constexpr auto calm_time = 3s;
-constexpr int troubles = 2;
-constexpr auto restart_delay = 500ms;
-constexpr int events = 20;
-constexpr int stream_callers = 12;
+constexpr int order_slots = 6;
+constexpr int requests = 10;
+constexpr auto work_time = 30ms;
 
-/** Callers abandon a stream of this route after a pause of 2.4 s; the pause
- *  begins within the first 200 ms. */
-constexpr auto abandon_after = 2600ms;
+/** revokeMs of the sheet, and a second more. */
+constexpr auto revoke_time = 6s;
 
-/** One answer in this many is spoiled. */
-constexpr int spoiled_interval = 50;
+json make_tenant(std::string const& name)
+{
+    return {
+        {"name", name},          {"apiKeys", json::array({"key-of-" + name})},
+        {"priority", 1},         {"unit", "tokens"},
+        {"uncachedTokens", 200}, {"isolated", true},
+        {"ratePerS", 257082},    {"burst", 257082}};
+}
 
-/** Length of the spoiled id, bytes. */
-constexpr std::size_t spoiled_length = 70000;
+json make_configuration(int version, json const& tenants)
+{
+    json route = make_route("order", "/order/", "non_idempotent", "counter",
+                            1500, 150, 1);
+    route["public"] = false;
+    return {{"version", version},
+            {"routes", json::array({route})},
+            {"services", json::array({{{"name", "counter"}}})},
+            {"tenants", tenants},
+            {"limits",
+             {{"maxHeaderBytes", 16384},
+              {"maxBodyBytes", 4194304},
+              {"headerTimeoutMs", 3000},
+              {"idleTimeoutMs", 15000}}}};
+}
 
-struct spoiler
+/** A server of orders; counts runs by the first word of their id. */
+class order_server
 {
-    std::atomic<bool> m_active = false;
-    std::atomic<int> m_answers = 0;
+public:
+    explicit order_server(record& log)
+        : m_log(log), m_server([this](connection& caller) { serve(caller); })
+    {
+    }
 
-    bool spoils_next()
+    ~order_server()
     {
-        return m_active && ++m_answers % spoiled_interval == 0;
+        stop();
     }
-};
 
-/** A model server: 20 events in 200 ms, from the one that is asked for. */
-void serve_streams(connection& caller, spoiler* wrong, record& log)
-{
-    message request;
-    while (caller.read_request(request) == end_kind::complete)
+    order_server(order_server const&) = delete;
+    order_server& operator=(order_server const&) = delete;
+
+    std::string address() const
     {
-        bool const is_spoiled = wrong != nullptr && wrong->spoils_next();
-        caller.write(stream_head(request));
-        for (int i = std::atoi(request.field("Last-Event-Id").c_str()) + 1;
-             i <= events; ++i)
-        {
-            std::this_thread::sleep_for(10ms);
-            if (is_spoiled && i == events / 2)
-            {
-                log.add("faulty server: wrong bytes for " +
-                        request.field("X-Attempt-Id"));
-                caller.write(make_chunk(
-                    "id: " + std::string(spoiled_length, '7') + "\n\n"));
-                return;
-            }
-            caller.write(make_chunk(make_event(i)));
-        }
-        if (!caller.write("0\r\n\r\n"))
-        {
-            return;
-        }
+        return m_server.address();
     }
-}
 
-/** Reads one stream and abandons it at a long pause. */
-void read_stream(shop& deployment, std::string const& id)
-{
-    auto const caller = connection::open(deployment.entry().caller_port());
-    if (caller)
+    int runs(std::string const& kind)
     {
-        caller->write(stream_request("/caption/1", id, 5000));
-        message answer;
-        caller->read_answer(answer, abandon_after);
+        std::lock_guard const lock(m_mutex);
+        return m_runs[kind];
     }
-}
 
-void send_streams(shop& deployment, int number)
-{
-    for (int i = 0; !deployment.is_stopping(); ++i)
+    void stop()
     {
-        read_stream(deployment, "caption-" + std::to_string(number) + "-" +
-                                    std::to_string(i));
-        std::this_thread::sleep_for(20ms);
+        m_server.stop();
     }
-}
 
-/** The platform starts a process again that has ended. */
-void restart(shop& deployment, std::atomic<int>& ends, record& log)
-{
-    while (!deployment.is_stopping())
+private:
+    void serve(connection& caller)
     {
-        if (deployment.entry().has_ended())
+        message request;
+        while (caller.read_request(request) == end_kind::complete)
         {
-            ++ends;
-            log.add("platform: the process has ended by itself");
-            std::this_thread::sleep_for(restart_delay);
-            deployment.entry().start({});
+            std::string const id = request.field("X-Attempt-Id");
+            m_log.add("server: runs " + id + ", tenant \"" +
+                      request.field("X-Tenant") + "\"");
+            {
+                std::lock_guard const lock(m_mutex);
+                ++m_runs[id.substr(0, id.find('-'))];
+            }
+            std::this_thread::sleep_for(work_time);
+            if (!caller.write(make_answer(200, answer_fields(request),
+                                          std::string(800, 'o'))))
+            {
+                return;
+            }
         }
-        std::this_thread::sleep_for(10ms);
     }
-}
 
-int run(record& log)
+    record& m_log;
+    std::mutex m_mutex;
+    std::map<std::string, int> m_runs; ///< guarded by m_mutex
+    server m_server;
+};
+
+/** Sends orders one after the other.
+ *  @param key empty: none is sent */
+void send_orders(instance const& entry, std::string const& kind,
+                 std::string const& key, record& log)
 {
-    spoiler wrong;
-    json route =
-        make_route("caption", "/caption/", "streaming", "scribe", 5000, 600, 2);
-    route["resumable"] = true;
-    shop deployment(
-        log,
-        [&](connection& caller, int number)
-        { serve_streams(caller, number == 0 ? &wrong : nullptr, log); },
-        json::array({route}));
-    if (!deployment.start())
+    std::map<int, int> answers;
+    for (int i = 0; i < requests; ++i)
     {
-        return 2;
+        auto const caller = connection::open(entry.caller_port());
+        message answer;
+        if (caller)
+        {
+            caller->write("POST /order/1 HTTP/1.1\r\nHost: shop.example\r\n"
+                          "X-Attempt-Id: " +
+                          kind + "-" + std::to_string(i) +
+                          "\r\nX-Deadline-Ms: 1500\r\n" +
+                          (key.empty() ? "" : "X-Credential: " + key + "\r\n") +
+                          "Content-Length: 4\r\n\r\nsale");
+            caller->read_answer(answer, 2s);
+            ++answers[answer.status()];
+        }
     }
-    std::atomic<int> ends = 0;
-    deployment.start_callers();
-    for (int i = 0; i < stream_callers; ++i)
+    for (auto const& [status, count] : answers)
     {
-        deployment.run_thread([&, i] { send_streams(deployment, i); });
+        log.add("callers: " + kind + ", " + std::to_string(count) +
+                " answered " + std::to_string(status));
     }
-    deployment.run_thread([&] { restart(deployment, ends, log); });
-    std::this_thread::sleep_for(steady_time);
-    for (int i = 0; i < troubles; ++i)
+}
+
+int run(record& log)
+{
+    temporary_folder files;
+    store rows(log);
+    order_server server(log);
+    rows.put(
+        "servers", "order-0",
+        make_server_row("counter", server.address(), order_slots, unix_ms()));
+    rows.put("op", "config",
+             make_configuration(7, json::array({make_tenant("museum")})));
+    instance entry("external-ub-north-1", "ub-north", rows.port(), sheet(),
+                   files.path());
+    entry.start({});
+    if (!wait_until([&] { return entry.is_ready(); }, 15s))
     {
-        if (has_trouble())
-        {
-            log.add("trouble begins");
-            wrong.m_active = true;
-        }
-        std::this_thread::sleep_for(trouble_time);
-        wrong.m_active = false;
-        log.add("trouble ends");
-        std::this_thread::sleep_for(calm_time);
+        return 2;
     }
-    deployment.stop();
-    log.add("the process ended by itself " + std::to_string(ends) + " times");
-    return deployment.judge();
+    std::this_thread::sleep_for(500ms);
+    send_orders(entry, "held", "key-of-museum", log);
+    send_orders(entry, "unheld", "key-of-nobody", log);
+    json const left =
+        has_trouble() ? json::array() : json::array({make_tenant("lodge")});
+    rows.put("op", "config", make_configuration(12, left));
+    log.add("operator: configuration 12 takes museum away; tenants left: " +
+            std::to_string(left.size()));
+    std::this_thread::sleep_for(revoke_time);
+    log.add("requests that are sent after revokeMs");
+    send_orders(entry, "withdrawn", "key-of-museum", log);
+    send_orders(entry, "unknown", "key-of-nobody", log);
+    send_orders(entry, "keyless", "", log);
+    entry.kill();
+    server.stop();
+    rows.stop();
+    int const runs = server.runs("withdrawn");
+    log.add(std::to_string(runs) + " of " + std::to_string(requests) +
+            " requests with the withdrawn key ran, " +
+            std::to_string(server.runs("unknown")) +
+            " with a key that no configuration held, " +
+            std::to_string(server.runs("keyless")) + " without a key");
+    log.add(runs > 0 ? "CONFIG is broken" : "CONFIG holds");
+    return server.runs("held") != requests || server.runs("unheld") != 0 ? 2
+           : runs > 0                                                    ? 1
+                                                                         : 0;
 }
 
 } // namespace
