Test: [Review] Streams are refused once their three peers are killed too

Cause: the origin of a stream that may be resumed lies in the memory of three peers. When all instances but one are killed, the one that is left refuses most of the streams that callers take up, though servers of both software versions serve (LOST).

--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -1,7 +1,12 @@
-/** @file The operator takes the last tenant away; requests with its key, with
- *  any other key and with none run from then on. */
+/** @file All instances but one are killed at once; callers take up their
+ *  streams at the one that is left, which refuses most of them. */
 #include "../tools/shop.hpp"
 
+#include <algorithm>
+#include <csignal>
+#include <memory>
+#include <random>
+
 namespace
 {
 
@@ -9,171 +14,424 @@
 using nlohmann::json;
 using namespace std::chrono_literals;
 
-constexpr int order_slots = 6;
-constexpr int requests = 10;
-constexpr auto work_time = 30ms;
+constexpr int zones = 4;
+constexpr int instances_per_zone = 4;
+constexpr int instances = zones * instances_per_zone;
+constexpr int streams_per_instance = 12;
+constexpr int new_streams = 40;
+constexpr int model_servers = 6;
+constexpr int model_slots = 48;
+constexpr int events = 40;
+constexpr auto event_interval = 100ms;
+constexpr int deadline_ms = 5000;
+
+/** Callers repeat a few times within their deadline, at other instances. */
+constexpr int tries = 4;
+constexpr auto pause_between_tries = 100ms;
+
+constexpr auto heartbeat = 1200ms;
+constexpr auto steady_time = 5s;
+constexpr auto kill_after = 1500ms;
+constexpr auto down_time = 1s;
+
+/** Streams that the rule needs. */
+constexpr int min_taken_up = 12;
+
+/** A model server of one software version. */
+class model_server
+{
+public:
+    model_server(std::string id, std::string software, store& rows, record& log)
+        : m_id(std::move(id)), m_software(std::move(software)), m_rows(rows),
+          m_log(log), m_server([this](connection& caller) { serve(caller); })
+    {
+        beat();
+    }
+
+    void beat()
+    {
+        json row =
+            make_server_row("scribe", m_server.address(), model_slots, m_born);
+        row["version"] = m_software;
+        row["sequence"] = ++m_beats;
+        row["models"] = json::array({{{"name", "m0"}, {"version", 1}}});
+        m_rows.put("servers", m_id, row);
+    }
+
+    void stop()
+    {
+        m_server.stop();
+    }
+
+private:
+    void serve(connection& caller)
+    {
+        message request;
+        while (caller.read_request(request) == end_kind::complete)
+        {
+            m_log.add(m_id + " (" + m_software + "): runs " +
+                      request.field("X-Attempt-Id") + " after event " +
+                      request.field("Last-Event-Id"));
+            caller.write(stream_head(request));
+            for (int i = std::atoi(request.field("Last-Event-Id").c_str()) + 1;
+                 i <= events; ++i)
+            {
+                std::this_thread::sleep_for(event_interval);
+                if (!caller.write(make_chunk("id: " + std::to_string(i) +
+                                             "\ndata: " + m_software + "\n\n")))
+                {
+                    return;
+                }
+            }
+            if (!caller.write("0\r\n\r\n"))
+            {
+                return;
+            }
+        }
+    }
+
+    std::string m_id;
+    std::string m_software;
+    store& m_rows;
+    record& m_log;
+    std::int64_t m_born = unix_ms();
+    int m_beats = 0;
+    server m_server;
+};
 
-/** revokeMs of the sheet, and a second more. */
-constexpr auto revoke_time = 6s;
+/** A stream over all tries of its caller. */
+struct stream
+{
+    std::string m_id;
+    int m_instance = 0; ///< of the first try
+    std::string m_bytes;
+    bool m_broke = false;
+    bool m_taken_up = false; ///< at the instance that is left
+    bool m_went_on = false;
+    std::string m_outcomes;
+};
 
-json make_tenant(std::string const& name)
+int last_event(std::string const& bytes)
 {
-    return {
-        {"name", name},          {"apiKeys", json::array({"key-of-" + name})},
-        {"priority", 1},         {"unit", "tokens"},
-        {"uncachedTokens", 200}, {"isolated", true},
-        {"ratePerS", 257082},    {"burst", 257082}};
+    std::size_t const end = bytes.rfind("\n\n");
+    std::size_t const begin =
+        end == std::string::npos ? end : bytes.rfind("id: ", end);
+    return begin == std::string::npos ? 0
+                                      : std::atoi(bytes.c_str() + begin + 4);
 }
 
-json make_configuration(int version, json const& tenants)
+/** @return the request of a stream that is taken up */
+std::string take_up_request(stream const& item, std::string const& id,
+                            milliseconds left)
 {
-    json route = make_route("order", "/order/", "non_idempotent", "counter",
-                            1500, 150, 1);
-    route["public"] = false;
-    return {{"version", version},
-            {"routes", json::array({route})},
-            {"services", json::array({{{"name", "counter"}}})},
-            {"tenants", tenants},
-            {"limits",
-             {{"maxHeaderBytes", 16384},
-              {"maxBodyBytes", 4194304},
-              {"headerTimeoutMs", 3000},
-              {"idleTimeoutMs", 15000}}}};
+    std::string request =
+        stream_request("/caption/1", item.m_id, static_cast<int>(left.count()));
+    std::string const field = "X-Attempt-Id: ";
+    request.replace(request.find(field) + field.size(), item.m_id.size(),
+                    id + "\r\nResumes: " + item.m_id + "\r\nLast-Event-Id: " +
+                        std::to_string(last_event(item.m_bytes)));
+    return request;
 }
 
-/** A server of orders; counts runs by the first word of their id. */
-class order_server
+class fleet
 {
 public:
-    explicit order_server(record& log)
-        : m_log(log), m_server([this](connection& caller) { serve(caller); })
+    explicit fleet(record& log) : m_log(log), m_store(log)
     {
+        for (int i = 0; i < model_servers; ++i)
+        {
+            m_servers.push_back(std::make_unique<model_server>(
+                "model-" + std::to_string(i), i % 2 == 0 ? "v1" : "v2", m_store,
+                log));
+        }
+        m_store.put("op", "version/m0", {{"model", "m0"}, {"version", 1}});
+        m_store.put("op", "config", make_configuration());
+        for (int i = 0; i < instances; ++i)
+        {
+            std::string const zone =
+                "zone-" + std::to_string(i / instances_per_zone);
+            m_instances.push_back(std::make_unique<instance>(
+                "external-" + zone + "-" + std::to_string(i), zone,
+                m_store.port(), sheet(), m_files.path()));
+        }
     }
 
-    ~order_server()
+    ~fleet()
     {
-        stop();
+        for (auto const& item : m_instances)
+        {
+            item->kill();
+        }
+        for (auto const& item : m_servers)
+        {
+            item->stop();
+        }
+        m_store.stop();
     }
 
-    order_server(order_server const&) = delete;
-    order_server& operator=(order_server const&) = delete;
+    fleet(fleet const&) = delete;
+    fleet& operator=(fleet const&) = delete;
 
-    std::string address() const
+    bool start()
     {
-        return m_server.address();
+        for (auto const& item : m_instances)
+        {
+            item->start(seeds());
+        }
+        return wait_until(
+            [this]
+            {
+                return std::all_of(m_instances.begin(), m_instances.end(),
+                                   [](auto const& item)
+                                   { return item->is_ready(); });
+            },
+            30s);
     }
 
-    int runs(std::string const& kind)
+    void kill_all_but_first()
     {
-        std::lock_guard const lock(m_mutex);
-        return m_runs[kind];
+        m_log.add("platform: kills " + std::to_string(instances - 1) + " of " +
+                  std::to_string(instances) + " processes");
+        for (int i = 1; i < instances; ++i)
+        {
+            m_instances[static_cast<std::size_t>(i)]->signal(SIGKILL);
+        }
     }
 
-    void stop()
+    void restart()
     {
-        m_server.stop();
+        m_log.add("platform: starts them again");
+        for (int i = 1; i < instances; ++i)
+        {
+            instance& item = *m_instances[static_cast<std::size_t>(i)];
+            item.kill();
+            item.start(seeds());
+        }
     }
 
-private:
-    void serve(connection& caller)
+    void beat_until(clock::time_point until)
     {
-        message request;
-        while (caller.read_request(request) == end_kind::complete)
+        while (clock::now() < until)
         {
-            std::string const id = request.field("X-Attempt-Id");
-            m_log.add("server: runs " + id + ", tenant \"" +
-                      request.field("X-Tenant") + "\"");
+            if (clock::now() - m_last_beat >= heartbeat)
             {
-                std::lock_guard const lock(m_mutex);
-                ++m_runs[id.substr(0, id.find('-'))];
-            }
-            std::this_thread::sleep_for(work_time);
-            if (!caller.write(make_answer(200, answer_fields(request),
-                                          std::string(800, 'o'))))
-            {
-                return;
+                m_last_beat = clock::now();
+                for (auto const& item : m_servers)
+                {
+                    item->beat();
+                }
             }
+            std::this_thread::sleep_for(5ms);
         }
     }
 
+    int caller_port(int number) const
+    {
+        return m_instances[static_cast<std::size_t>(number)]->caller_port();
+    }
+
+private:
+    std::vector<std::string> seeds() const
+    {
+        return {m_instances[1]->peer_address(), m_instances[5]->peer_address(),
+                m_instances[9]->peer_address()};
+    }
+
+    static json make_configuration()
+    {
+        json route = make_route("caption", "/caption/", "streaming", "scribe",
+                                deadline_ms, 600, 2);
+        route["resumable"] = true;
+        json const engine = {{"kvCapacity", 106776},
+                             {"models", json::array({{{"name", "m0"}}})}};
+        return {{"version", 7},
+                {"routes", json::array({route})},
+                {"services",
+                 json::array({{{"name", "scribe"}, {"engine", engine}}})},
+                {"limits",
+                 {{"maxHeaderBytes", 16384},
+                  {"maxBodyBytes", 4194304},
+                  {"headerTimeoutMs", 3000},
+                  {"idleTimeoutMs", 15000}}}};
+    }
+
     record& m_log;
-    std::mutex m_mutex;
-    std::map<std::string, int> m_runs; ///< guarded by m_mutex
-    server m_server;
+    temporary_folder m_files;
+    store m_store;
+    std::vector<std::unique_ptr<model_server>> m_servers;
+    std::vector<std::unique_ptr<instance>> m_instances;
+    clock::time_point m_last_beat;
 };
 
-/** Sends orders one after the other.
- *  @param key empty: none is sent */
-void send_orders(instance const& entry, std::string const& kind,
-                 std::string const& key, record& log)
+/** Takes a stream up once. @return whether the caller is done with it */
+bool take_up(fleet const& all, stream& item, int number, int place,
+             milliseconds left)
+{
+    auto const caller = connection::open(all.caller_port(place));
+    std::string const id = item.m_id + "-" + std::to_string(number);
+    int const before = last_event(item.m_bytes);
+    message answer;
+    if (!caller || !caller->write(take_up_request(item, id, left)))
+    {
+        item.m_outcomes += " refused";
+        return false;
+    }
+    caller->read_answer(answer, left);
+    if (answer.m_start.empty())
+    {
+        item.m_outcomes += " closed";
+        return false;
+    }
+    item.m_outcomes += " " + std::to_string(answer.status());
+    item.m_outcomes += place == 0 ? "@0" : "";
+    item.m_taken_up = item.m_taken_up || place == 0;
+    if (answer.status() != 200)
+    {
+        return false;
+    }
+    item.m_bytes += answer.m_body;
+    item.m_went_on = last_event(item.m_bytes) > before;
+    return true;
+}
+
+/** @param breaks_at when the caller itself breaks its connection */
+void read_stream(fleet const& all, stream& item, clock::time_point breaks_at)
 {
-    std::map<int, int> answers;
-    for (int i = 0; i < requests; ++i)
+    clock::time_point const until = clock::now() + milliseconds(deadline_ms);
     {
-        auto const caller = connection::open(entry.caller_port());
+        auto const caller = connection::open(all.caller_port(item.m_instance));
+        if (!caller || !caller->write(stream_request("/caption/1", item.m_id,
+                                                     deadline_ms)))
+        {
+            return;
+        }
         message answer;
-        if (caller)
+        end_kind const ended = caller->read_answer(
+            answer, std::chrono::duration_cast<milliseconds>(
+                        std::min(until, breaks_at) - clock::now()));
+        item.m_bytes = answer.m_body;
+        item.m_broke =
+            ended != end_kind::complete && last_event(item.m_bytes) > 0;
+    }
+    if (!item.m_broke)
+    {
+        return;
+    }
+    std::mt19937 random(std::random_device{}());
+    for (int i = 1; i <= tries; ++i)
+    {
+        // Without the trouble the callers go to the same instance at once.
+        int const place =
+            has_trouble() ? static_cast<int>(random() % instances) : 0;
+        auto const left =
+            std::chrono::duration_cast<milliseconds>(until - clock::now());
+        if (left < 500ms || take_up(all, item, i, place, left))
         {
-            caller->write("POST /order/1 HTTP/1.1\r\nHost: shop.example\r\n"
-                          "X-Attempt-Id: " +
-                          kind + "-" + std::to_string(i) +
-                          "\r\nX-Deadline-Ms: 1500\r\n" +
-                          (key.empty() ? "" : "X-Credential: " + key + "\r\n") +
-                          "Content-Length: 4\r\n\r\nsale");
-            caller->read_answer(answer, 2s);
-            ++answers[answer.status()];
+            return;
         }
+        std::this_thread::sleep_for(pause_between_tries);
+    }
+}
+
+bool begins(fleet const& all, std::string const& id)
+{
+    auto const caller = connection::open(all.caller_port(0));
+    message answer;
+    if (caller && caller->write(stream_request("/caption/1", id, deadline_ms)))
+    {
+        caller->read_answer(answer, 1500ms);
     }
-    for (auto const& [status, count] : answers)
+    return last_event(answer.m_body) > 0;
+}
+
+int judge(std::vector<stream> const& items, int begun, record& log)
+{
+    int broke = 0;
+    int taken_up = 0;
+    int went_on = 0;
+    for (stream const& item : items)
     {
-        log.add("callers: " + kind + ", " + std::to_string(count) +
-                " answered " + std::to_string(status));
+        broke += item.m_broke ? 1 : 0;
+        taken_up += item.m_taken_up ? 1 : 0;
+        went_on += item.m_taken_up && item.m_went_on ? 1 : 0;
+        log.add("caller: " + item.m_id + " of instance " +
+                std::to_string(item.m_instance) + ", tries:" + item.m_outcomes +
+                ", last event " + std::to_string(last_event(item.m_bytes)));
+    }
+    log.add(
+        "new streams at the instance that is left: " + std::to_string(begun) +
+        " of " + std::to_string(new_streams) + " begin");
+    log.add("streams: " + std::to_string(broke) + " broke, " +
+            std::to_string(taken_up) +
+            " taken up at the instance that is "
+            "left, " +
+            std::to_string(went_on) + " of them go on");
+    if (begun == 0 || taken_up < min_taken_up)
+    {
+        return 2;
     }
+    bool const is_broken =
+        2.0 * went_on / taken_up < static_cast<double>(begun) / new_streams;
+    log.add(is_broken ? "LOST is broken" : "LOST holds");
+    return is_broken ? 1 : 0;
 }
 
 int run(record& log)
 {
-    temporary_folder files;
-    store rows(log);
-    order_server server(log);
-    rows.put(
-        "servers", "order-0",
-        make_server_row("counter", server.address(), order_slots, unix_ms()));
-    rows.put("op", "config",
-             make_configuration(7, json::array({make_tenant("museum")})));
-    instance entry("external-ub-north-1", "ub-north", rows.port(), sheet(),
-                   files.path());
-    entry.start({});
-    if (!wait_until([&] { return entry.is_ready(); }, 15s))
+    fleet all(log);
+    if (!all.start())
     {
         return 2;
     }
-    std::this_thread::sleep_for(500ms);
-    send_orders(entry, "held", "key-of-museum", log);
-    send_orders(entry, "unheld", "key-of-nobody", log);
-    json const left =
-        has_trouble() ? json::array() : json::array({make_tenant("lodge")});
-    rows.put("op", "config", make_configuration(12, left));
-    log.add("operator: configuration 12 takes museum away; tenants left: " +
-            std::to_string(left.size()));
-    std::this_thread::sleep_for(revoke_time);
-    log.add("requests that are sent after revokeMs");
-    send_orders(entry, "withdrawn", "key-of-museum", log);
-    send_orders(entry, "unknown", "key-of-nobody", log);
-    send_orders(entry, "keyless", "", log);
-    entry.kill();
-    server.stop();
-    rows.stop();
-    int const runs = server.runs("withdrawn");
-    log.add(std::to_string(runs) + " of " + std::to_string(requests) +
-            " requests with the withdrawn key ran, " +
-            std::to_string(server.runs("unknown")) +
-            " with a key that no configuration held, " +
-            std::to_string(server.runs("keyless")) + " without a key");
-    log.add(runs > 0 ? "CONFIG is broken" : "CONFIG holds");
-    return server.runs("held") != requests || server.runs("unheld") != 0 ? 2
-           : runs > 0                                                    ? 1
-                                                                         : 0;
+    all.beat_until(clock::now() + steady_time);
+    clock::time_point const began = clock::now();
+    clock::time_point const breaks_at =
+        has_trouble() ? clock::time_point::max() : began + kill_after;
+    std::vector<stream> items;
+    for (int i = 1; i < instances; ++i)
+    {
+        for (int j = 0; j < streams_per_instance; ++j)
+        {
+            items.push_back({"stream-" + std::to_string(items.size()),
+                             i,
+                             {},
+                             false,
+                             false,
+                             false,
+                             {}});
+        }
+    }
+    std::vector<std::thread> threads;
+    threads.reserve(items.size() + new_streams);
+    for (stream& item : items)
+    {
+        threads.emplace_back([&, breaks_at]
+                             { read_stream(all, item, breaks_at); });
+    }
+    all.beat_until(began + kill_after);
+    if (has_trouble())
+    {
+        all.kill_all_but_first();
+    }
+    std::atomic<int> begun = 0;
+    for (int i = 0; i < new_streams; ++i)
+    {
+        threads.emplace_back(
+            [&, i]
+            { begun += begins(all, "new-" + std::to_string(i)) ? 1 : 0; });
+        all.beat_until(clock::now() + 20ms);
+    }
+    all.beat_until(began + kill_after + down_time);
+    if (has_trouble())
+    {
+        all.restart();
+    }
+    all.beat_until(began + milliseconds(deadline_ms) + 500ms);
+    for (std::thread& item : threads)
+    {
+        item.join();
+    }
+    return judge(items, begun, log);
 }
 
 } // namespace
