Test: [Review] A machine that is added after a drill takes the order lease

Cause: a process that starts after the store came back from a copy takes the first era that it sees for no restore, finds no row of the lease and orders at once; the former holder has just ordered (ONE). No kill and no race any more.

--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -1,5 +1,6 @@
-/** @file After the store came back from a copy, an instance takes the lease of
- *  orders at once, though the former holder has just given one. */
+/** @file The store comes back from a copy, and a machine is added: its instance
+ *  takes the lease of orders at once, though the former holder, which lives,
+ *  has just given some. */
 #include "../tools/engine.hpp"
 
 #include <algorithm>
@@ -16,22 +17,22 @@
 
 constexpr char const* model = "m0";
 constexpr int engines = 2;
-constexpr int rounds = 12;
+constexpr int rounds = 5;
 constexpr auto heartbeat = 1200ms;
 
+/** Instance of the machine that is added. */
+constexpr char const* added = "external-ub-north-2";
+
 /** Without orders, before the copy is made. */
 constexpr auto steady_time = 500ms;
 
 constexpr auto copy_before_naming = 1s;
 
 /** From the last order of the holder on. */
-constexpr auto power_lost_after = 50ms;
-constexpr auto named_after = 100ms;
-constexpr auto away_after = 1350ms;
-constexpr auto back_after = 1650ms;
-
-/** End of a round; the machine of the holder stays dark until then, for less
- *  than the 3.5 s of the site file. */
+constexpr auto away_after = 100ms;
+constexpr auto back_after = 400ms;
+constexpr auto added_after = 450ms;
+constexpr auto named_after = 1000ms;
 constexpr auto end_after = 3400ms;
 
 /** leaseMs of the sheet. */
@@ -71,6 +72,8 @@
                 "external-" + zone + "-1", zone, m_store.port(), sheet(),
                 m_files.path()));
         }
+        m_added = std::make_unique<instance>(added, "ub-north", m_store.port(),
+                                             sheet(), m_files.path());
         m_beats = std::thread([this] { send_beats(); });
     }
 
@@ -82,6 +85,7 @@
         {
             item->kill();
         }
+        m_added->kill();
         for (auto const& item : m_engines)
         {
             item->stop();
@@ -92,38 +96,35 @@
     fleet(fleet const&) = delete;
     fleet& operator=(fleet const&) = delete;
 
-    void start(std::string const& name)
+    void start(instance& item)
     {
         std::vector<std::string> seeds;
-        for (auto const& item : m_instances)
+        for (auto const& peer : m_instances)
         {
-            seeds.push_back(item->peer_address());
+            seeds.push_back(peer->peer_address());
         }
         seeds.resize(std::min<std::size_t>(seeds.size(), 3));
-        find(name).start(seeds);
-        m_log.add(name + " is started");
+        item.start(seeds);
+        m_log.add(item.name() + " is started");
     }
 
     void start_all()
     {
         for (auto const& item : m_instances)
         {
-            start(item->name());
+            start(*item);
         }
     }
 
-    bool is_ready() const
+    void add_machine()
     {
-        return std::all_of(m_instances.begin(), m_instances.end(),
-                           [](auto const& item) { return item->is_ready(); });
+        start(*m_added);
     }
 
-    instance& find(std::string const& name)
+    bool is_ready() const
     {
-        auto const found = std::find_if(m_instances.begin(), m_instances.end(),
-                                        [&](auto const& item)
-                                        { return item->name() == name; });
-        return **found;
+        return std::all_of(m_instances.begin(), m_instances.end(),
+                           [](auto const& item) { return item->is_ready(); });
     }
 
     /** The operator names new weights. */
@@ -187,6 +188,7 @@
     store m_store;
     std::vector<std::unique_ptr<engine>> m_engines;
     std::vector<std::unique_ptr<instance>> m_instances;
+    std::unique_ptr<instance> m_added;
     std::atomic<bool> m_stopping = false;
     std::thread m_beats;
 };
@@ -239,14 +241,6 @@
     {
         return 2;
     }
-    std::this_thread::sleep_until(last->m_at + power_lost_after);
-    if (has_trouble())
-    {
-        system.find(last->m_holder).kill();
-        log.add(last->m_holder + " loses power");
-    }
-    std::this_thread::sleep_until(last->m_at + named_after);
-    system.name(3);
     std::this_thread::sleep_until(last->m_at + away_after);
     if (has_trouble())
     {
@@ -259,6 +253,10 @@
         system.rows().come_back();
         log.add("store: back from a copy");
     }
+    std::this_thread::sleep_until(last->m_at + added_after);
+    system.add_machine();
+    std::this_thread::sleep_until(last->m_at + named_after);
+    system.name(3);
     std::this_thread::sleep_until(last->m_at + end_after);
     bool broken = false;
     for (auto const& item : system.model_servers())
