--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -1,11 +1,8 @@
-/** @file All instances but one are killed at once; callers take up their
- *  streams at the one that is left, which refuses most of them. */
+/** @file A server starts again with another software version and leaves soon
+ *  after; streams that the new version began go on at the old one. */
 #include "../tools/shop.hpp"
 
-#include <algorithm>
-#include <csignal>
 #include <memory>
-#include <random>
 
 namespace
 {
@@ -14,48 +11,85 @@
 using nlohmann::json;
 using namespace std::chrono_literals;
 
-constexpr int zones = 4;
-constexpr int instances_per_zone = 4;
-constexpr int instances = zones * instances_per_zone;
-constexpr int streams_per_instance = 12;
-constexpr int new_streams = 40;
-constexpr int model_servers = 6;
 constexpr int model_slots = 48;
+constexpr int rounds = 3;
+constexpr int streams = 49;
+constexpr std::size_t model_servers = 7;
 constexpr int events = 40;
 constexpr auto event_interval = 100ms;
 constexpr int deadline_ms = 5000;
 
-/** Callers repeat a few times within their deadline, at other instances. */
-constexpr int tries = 4;
-constexpr auto pause_between_tries = 100ms;
+/** Streams of two versions that the rule permits. */
+constexpr int max_mixed = 2;
 
 constexpr auto heartbeat = 1200ms;
-constexpr auto steady_time = 5s;
-constexpr auto kill_after = 1500ms;
-constexpr auto down_time = 1s;
+constexpr auto steady_time = 2s;
 
-/** Streams that the rule needs. */
-constexpr int min_taken_up = 12;
+/** From the end of the old process to the start of the new one. */
+constexpr auto down_time = 300ms;
 
-/** A model server of one software version. */
+/** From the start of the new process on. */
+constexpr auto streams_after = 50ms;
+constexpr auto removed_after = 1s;
+
+/** drainMs of the sheet, and a little longer. */
+constexpr auto serves_on_for = 2300ms;
+constexpr auto end_after = 5200ms;
+
+/** A model server: a process may follow another under the same id. */
 class model_server
 {
 public:
-    model_server(std::string id, std::string software, store& rows, record& log)
-        : m_id(std::move(id)), m_software(std::move(software)), m_rows(rows),
-          m_log(log), m_server([this](connection& caller) { serve(caller); })
+    model_server(std::string id, store& rows, record& log)
+        : m_id(std::move(id)), m_rows(rows), m_log(log),
+          m_server([this](connection& caller) { serve(caller); })
+    {
+    }
+
+    /** A process of this software starts. */
+    void start(std::string const& software)
     {
+        m_software = software;
+        m_born = unix_ms();
+        ++m_process;
+        m_up = true;
+        m_log.add(m_id + ": a process of " + software + " starts");
         beat();
     }
 
+    void end()
+    {
+        m_up = false;
+        ++m_process;
+        m_log.add(m_id + ": its process has ended");
+    }
+
     void beat()
     {
+        if (!m_up || m_leaves)
+        {
+            return;
+        }
         json row =
             make_server_row("scribe", m_server.address(), model_slots, m_born);
         row["version"] = m_software;
         row["sequence"] = ++m_beats;
         row["models"] = json::array({{{"name", "m0"}, {"version", 1}}});
         m_rows.put("servers", m_id, row);
+        m_last_beat = clock::now();
+    }
+
+    /** The server leaves; it never says that it drains. */
+    void remove_row()
+    {
+        m_leaves = true;
+        m_rows.erase("servers", m_id);
+        m_log.add("its row is removed: " + m_id);
+    }
+
+    clock::time_point last_beat() const
+    {
+        return m_last_beat;
     }
 
     void stop()
@@ -66,10 +100,17 @@
 private:
     void serve(connection& caller)
     {
+        int const process = m_process;
         message request;
-        while (caller.read_request(request) == end_kind::complete)
+        while (m_up && process == m_process &&
+               caller.read_request(request) == end_kind::complete)
         {
-            m_log.add(m_id + " (" + m_software + "): runs " +
+            if (process != m_process || !m_up)
+            {
+                return;
+            }
+            std::string const software = m_software;
+            m_log.add(m_id + " (" + software + "): runs " +
                       request.field("X-Attempt-Id") + " after event " +
                       request.field("Last-Event-Id"));
             caller.write(stream_head(request));
@@ -77,8 +118,9 @@
                  i <= events; ++i)
             {
                 std::this_thread::sleep_for(event_interval);
-                if (!caller.write(make_chunk("id: " + std::to_string(i) +
-                                             "\ndata: " + m_software + "\n\n")))
+                if (process != m_process ||
+                    !caller.write(make_chunk("id: " + std::to_string(i) +
+                                             "\ndata: " + software + "\n\n")))
                 {
                     return;
                 }
@@ -91,24 +133,24 @@
     }
 
     std::string m_id;
-    std::string m_software;
     store& m_rows;
     record& m_log;
-    std::int64_t m_born = unix_ms();
+    std::string m_software;
+    std::int64_t m_born = 0;
     int m_beats = 0;
+    std::atomic<int> m_process = 0;
+    std::atomic<bool> m_up = false;
+    bool m_leaves = false;
+    clock::time_point m_last_beat;
     server m_server;
 };
 
-/** A stream over all tries of its caller. */
 struct stream
 {
     std::string m_id;
-    int m_instance = 0; ///< of the first try
+    int m_status = 0;
+    bool m_ended = false; ///< as its framing says
     std::string m_bytes;
-    bool m_broke = false;
-    bool m_taken_up = false; ///< at the instance that is left
-    bool m_went_on = false;
-    std::string m_outcomes;
 };
 
 int last_event(std::string const& bytes)
@@ -120,318 +162,154 @@
                                       : std::atoi(bytes.c_str() + begin + 4);
 }
 
-/** @return the request of a stream that is taken up */
-std::string take_up_request(stream const& item, std::string const& id,
-                            milliseconds left)
-{
-    std::string request =
-        stream_request("/caption/1", item.m_id, static_cast<int>(left.count()));
-    std::string const field = "X-Attempt-Id: ";
-    request.replace(request.find(field) + field.size(), item.m_id.size(),
-                    id + "\r\nResumes: " + item.m_id + "\r\nLast-Event-Id: " +
-                        std::to_string(last_event(item.m_bytes)));
-    return request;
-}
-
-class fleet
+void ask(instance const& entry, stream& item)
 {
-public:
-    explicit fleet(record& log) : m_log(log), m_store(log)
-    {
-        for (int i = 0; i < model_servers; ++i)
-        {
-            m_servers.push_back(std::make_unique<model_server>(
-                "model-" + std::to_string(i), i % 2 == 0 ? "v1" : "v2", m_store,
-                log));
-        }
-        m_store.put("op", "version/m0", {{"model", "m0"}, {"version", 1}});
-        m_store.put("op", "config", make_configuration());
-        for (int i = 0; i < instances; ++i)
-        {
-            std::string const zone =
-                "zone-" + std::to_string(i / instances_per_zone);
-            m_instances.push_back(std::make_unique<instance>(
-                "external-" + zone + "-" + std::to_string(i), zone,
-                m_store.port(), sheet(), m_files.path()));
-        }
-    }
-
-    ~fleet()
+    auto const caller = connection::open(entry.caller_port());
+    message answer;
+    if (caller &&
+        caller->write(stream_request("/caption/1", item.m_id, deadline_ms)))
     {
-        for (auto const& item : m_instances)
-        {
-            item->kill();
-        }
-        for (auto const& item : m_servers)
-        {
-            item->stop();
-        }
-        m_store.stop();
+        item.m_ended = caller->read_answer(answer, milliseconds(deadline_ms)) ==
+                       end_kind::complete;
+        item.m_status = answer.status();
+        item.m_bytes = answer.m_body;
     }
+}
 
-    fleet(fleet const&) = delete;
-    fleet& operator=(fleet const&) = delete;
+json make_configuration()
+{
+    json route = make_route("caption", "/caption/", "streaming", "scribe",
+                            deadline_ms, 600, 2);
+    route["resumable"] = true;
+    json const engine = {{"kvCapacity", 106776},
+                         {"models", json::array({{{"name", "m0"}}})}};
+    return {
+        {"version", 7},
+        {"routes", json::array({route})},
+        {"services", json::array({{{"name", "scribe"}, {"engine", engine}}})},
+        {"limits",
+         {{"maxHeaderBytes", 16384},
+          {"maxBodyBytes", 4194304},
+          {"headerTimeoutMs", 3000},
+          {"idleTimeoutMs", 15000}}}};
+}
 
-    bool start()
+/** @return exit status of the case */
+int judge(std::vector<stream> const& items, record& log)
+{
+    int mixed = 0;
+    int whole = 0;
+    for (stream const& item : items)
     {
-        for (auto const& item : m_instances)
-        {
-            item->start(seeds());
-        }
-        return wait_until(
-            [this]
-            {
-                return std::all_of(m_instances.begin(), m_instances.end(),
-                                   [](auto const& item)
-                                   { return item->is_ready(); });
-            },
-            30s);
+        bool const is_mixed = item.m_bytes.find("v1") != std::string::npos &&
+                              item.m_bytes.find("v2") != std::string::npos;
+        bool const is_whole =
+            item.m_ended && last_event(item.m_bytes) == events;
+        mixed += is_mixed ? 1 : 0;
+        whole += is_whole ? 1 : 0;
+        std::string line = "caller: " + item.m_id + ", ";
+        line += std::to_string(item.m_status) + ", last event ";
+        line += std::to_string(last_event(item.m_bytes));
+        line += is_whole ? ", whole" : ", cut";
+        line += is_mixed ? ", events of two software versions" : "";
+        log.add(line);
     }
+    log.add(std::to_string(whole) + " of " + std::to_string(streams) +
+            " streams whole, " + std::to_string(mixed) +
+            " with events of two software versions (" +
+            std::to_string(max_mixed) + " permitted)");
+    log.add(mixed > max_mixed ? "ORDER is broken" : "ORDER holds");
+    return whole == 0 ? 2 : mixed > max_mixed ? 1 : 0;
+}
 
-    void kill_all_but_first()
+/** @return exit status of a round */
+int play(record& log)
+{
+    temporary_folder files;
+    store rows(log);
+    std::vector<std::unique_ptr<model_server>> servers;
+    for (std::size_t i = 0; i < model_servers; ++i)
     {
-        m_log.add("platform: kills " + std::to_string(instances - 1) + " of " +
-                  std::to_string(instances) + " processes");
-        for (int i = 1; i < instances; ++i)
-        {
-            m_instances[static_cast<std::size_t>(i)]->signal(SIGKILL);
-        }
+        servers.push_back(std::make_unique<model_server>(
+            "model-" + std::to_string(i), rows, log));
+        servers.back()->start("v1");
     }
-
-    void restart()
+    model_server& upgraded = *servers.front();
+    rows.put("op", "version/m0", {{"model", "m0"}, {"version", 1}});
+    rows.put("op", "config", make_configuration());
+    instance entry("external-ub-north-1", "ub-north", rows.port(), sheet(),
+                   files.path());
+    entry.start({});
+    if (!wait_until([&] { return entry.is_ready(); }, 15s))
     {
-        m_log.add("platform: starts them again");
-        for (int i = 1; i < instances; ++i)
-        {
-            instance& item = *m_instances[static_cast<std::size_t>(i)];
-            item.kill();
-            item.start(seeds());
-        }
+        return 2;
     }
-
-    void beat_until(clock::time_point until)
+    auto const beat_until = [&](clock::time_point until)
     {
         while (clock::now() < until)
         {
-            if (clock::now() - m_last_beat >= heartbeat)
+            for (auto const& item : servers)
             {
-                m_last_beat = clock::now();
-                for (auto const& item : m_servers)
+                if (clock::now() - item->last_beat() >= heartbeat)
                 {
                     item->beat();
                 }
             }
             std::this_thread::sleep_for(5ms);
         }
-    }
-
-    int caller_port(int number) const
-    {
-        return m_instances[static_cast<std::size_t>(number)]->caller_port();
-    }
-
-private:
-    std::vector<std::string> seeds() const
-    {
-        return {m_instances[1]->peer_address(), m_instances[5]->peer_address(),
-                m_instances[9]->peer_address()};
-    }
-
-    static json make_configuration()
-    {
-        json route = make_route("caption", "/caption/", "streaming", "scribe",
-                                deadline_ms, 600, 2);
-        route["resumable"] = true;
-        json const engine = {{"kvCapacity", 106776},
-                             {"models", json::array({{{"name", "m0"}}})}};
-        return {{"version", 7},
-                {"routes", json::array({route})},
-                {"services",
-                 json::array({{{"name", "scribe"}, {"engine", engine}}})},
-                {"limits",
-                 {{"maxHeaderBytes", 16384},
-                  {"maxBodyBytes", 4194304},
-                  {"headerTimeoutMs", 3000},
-                  {"idleTimeoutMs", 15000}}}};
-    }
-
-    record& m_log;
-    temporary_folder m_files;
-    store m_store;
-    std::vector<std::unique_ptr<model_server>> m_servers;
-    std::vector<std::unique_ptr<instance>> m_instances;
-    clock::time_point m_last_beat;
-};
-
-/** Takes a stream up once. @return whether the caller is done with it */
-bool take_up(fleet const& all, stream& item, int number, int place,
-             milliseconds left)
-{
-    auto const caller = connection::open(all.caller_port(place));
-    std::string const id = item.m_id + "-" + std::to_string(number);
-    int const before = last_event(item.m_bytes);
-    message answer;
-    if (!caller || !caller->write(take_up_request(item, id, left)))
-    {
-        item.m_outcomes += " refused";
-        return false;
-    }
-    caller->read_answer(answer, left);
-    if (answer.m_start.empty())
-    {
-        item.m_outcomes += " closed";
-        return false;
-    }
-    item.m_outcomes += " " + std::to_string(answer.status());
-    item.m_outcomes += place == 0 ? "@0" : "";
-    item.m_taken_up = item.m_taken_up || place == 0;
-    if (answer.status() != 200)
-    {
-        return false;
-    }
-    item.m_bytes += answer.m_body;
-    item.m_went_on = last_event(item.m_bytes) > before;
-    return true;
-}
-
-/** @param breaks_at when the caller itself breaks its connection */
-void read_stream(fleet const& all, stream& item, clock::time_point breaks_at)
-{
-    clock::time_point const until = clock::now() + milliseconds(deadline_ms);
+    };
+    beat_until(clock::now() + steady_time);
+    if (has_trouble())
     {
-        auto const caller = connection::open(all.caller_port(item.m_instance));
-        if (!caller || !caller->write(stream_request("/caption/1", item.m_id,
-                                                     deadline_ms)))
-        {
-            return;
-        }
-        message answer;
-        end_kind const ended = caller->read_answer(
-            answer, std::chrono::duration_cast<milliseconds>(
-                        std::min(until, breaks_at) - clock::now()));
-        item.m_bytes = answer.m_body;
-        item.m_broke =
-            ended != end_kind::complete && last_event(item.m_bytes) > 0;
+        upgraded.end();
+        beat_until(clock::now() + down_time);
+        upgraded.start("v2");
     }
-    if (!item.m_broke)
+    clock::time_point const up = clock::now();
+    beat_until(up + streams_after);
+    std::vector<stream> items(streams);
+    std::vector<std::thread> threads;
+    threads.reserve(streams);
+    for (stream& item : items)
     {
-        return;
+        item.m_id = "stream-" + std::to_string(threads.size());
+        threads.emplace_back([&entry, &item] { ask(entry, item); });
     }
-    std::mt19937 random(std::random_device{}());
-    for (int i = 1; i <= tries; ++i)
+    beat_until(up + removed_after);
+    if (has_trouble())
     {
-        // Without the trouble the callers go to the same instance at once.
-        int const place =
-            has_trouble() ? static_cast<int>(random() % instances) : 0;
-        auto const left =
-            std::chrono::duration_cast<milliseconds>(until - clock::now());
-        if (left < 500ms || take_up(all, item, i, place, left))
-        {
-            return;
-        }
-        std::this_thread::sleep_for(pause_between_tries);
+        upgraded.remove_row();
     }
-}
-
-bool begins(fleet const& all, std::string const& id)
-{
-    auto const caller = connection::open(all.caller_port(0));
-    message answer;
-    if (caller && caller->write(stream_request("/caption/1", id, deadline_ms)))
+    beat_until(up + removed_after + serves_on_for);
+    if (has_trouble())
     {
-        caller->read_answer(answer, 1500ms);
+        upgraded.end();
     }
-    return last_event(answer.m_body) > 0;
-}
-
-int judge(std::vector<stream> const& items, int begun, record& log)
-{
-    int broke = 0;
-    int taken_up = 0;
-    int went_on = 0;
-    for (stream const& item : items)
+    beat_until(up + end_after);
+    for (std::thread& item : threads)
     {
-        broke += item.m_broke ? 1 : 0;
-        taken_up += item.m_taken_up ? 1 : 0;
-        went_on += item.m_taken_up && item.m_went_on ? 1 : 0;
-        log.add("caller: " + item.m_id + " of instance " +
-                std::to_string(item.m_instance) + ", tries:" + item.m_outcomes +
-                ", last event " + std::to_string(last_event(item.m_bytes)));
+        item.join();
     }
-    log.add(
-        "new streams at the instance that is left: " + std::to_string(begun) +
-        " of " + std::to_string(new_streams) + " begin");
-    log.add("streams: " + std::to_string(broke) + " broke, " +
-            std::to_string(taken_up) +
-            " taken up at the instance that is "
-            "left, " +
-            std::to_string(went_on) + " of them go on");
-    if (begun == 0 || taken_up < min_taken_up)
+    entry.kill();
+    for (auto const& item : servers)
     {
-        return 2;
+        item->stop();
     }
-    bool const is_broken =
-        2.0 * went_on / taken_up < static_cast<double>(begun) / new_streams;
-    log.add(is_broken ? "LOST is broken" : "LOST holds");
-    return is_broken ? 1 : 0;
+    rows.stop();
+    return judge(items, log);
 }
 
+/** Where the instance reads the list of servers between the start of the new
+ *  process and the streams, there is nothing to see; then another round. */
 int run(record& log)
 {
-    fleet all(log);
-    if (!all.start())
-    {
-        return 2;
-    }
-    all.beat_until(clock::now() + steady_time);
-    clock::time_point const began = clock::now();
-    clock::time_point const breaks_at =
-        has_trouble() ? clock::time_point::max() : began + kill_after;
-    std::vector<stream> items;
-    for (int i = 1; i < instances; ++i)
-    {
-        for (int j = 0; j < streams_per_instance; ++j)
-        {
-            items.push_back({"stream-" + std::to_string(items.size()),
-                             i,
-                             {},
-                             false,
-                             false,
-                             false,
-                             {}});
-        }
-    }
-    std::vector<std::thread> threads;
-    threads.reserve(items.size() + new_streams);
-    for (stream& item : items)
-    {
-        threads.emplace_back([&, breaks_at]
-                             { read_stream(all, item, breaks_at); });
-    }
-    all.beat_until(began + kill_after);
-    if (has_trouble())
-    {
-        all.kill_all_but_first();
-    }
-    std::atomic<int> begun = 0;
-    for (int i = 0; i < new_streams; ++i)
-    {
-        threads.emplace_back(
-            [&, i]
-            { begun += begins(all, "new-" + std::to_string(i)) ? 1 : 0; });
-        all.beat_until(clock::now() + 20ms);
-    }
-    all.beat_until(began + kill_after + down_time);
-    if (has_trouble())
+    int result = 0;
+    for (int i = 0; i < rounds && result == 0; ++i)
     {
-        all.restart();
-    }
-    all.beat_until(began + milliseconds(deadline_ms) + 500ms);
-    for (std::thread& item : threads)
-    {
-        item.join();
+        log.add("round " + std::to_string(i + 1));
+        result = play(log);
     }
-    return judge(items, begun, log);
+    return result;
 }
 
 } // namespace
--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -1,12 +1,6 @@
-/** @file The store comes back from a copy, and a machine is added: its instance
- *  takes the lease of orders at once, though the former holder, which lives,
- *  has just given some. */
-#include "../tools/engine.hpp"
-
-#include <algorithm>
-#include <csignal>
-#include <iostream>
-#include <optional>
+/** @file A model server spoils some answers with an event that has a very long
+ *  id, and breaks off; the instance ends by a fault in its memory. */
+#include "../tools/shop.hpp"
 
 namespace
 {
@@ -15,293 +9,145 @@
 using nlohmann::json;
 using namespace std::chrono_literals;
 
-constexpr char const* model = "m0";
-constexpr int engines = 2;
-constexpr int rounds = 5;
-constexpr auto heartbeat = 1200ms;
-
-/** Instance of the machine that is added. */
-constexpr char const* added = "external-ub-north-2";
-
-/** Without orders, before the copy is made. */
-constexpr auto steady_time = 500ms;
+constexpr auto steady_time = 3s;
+constexpr auto trouble_time = 5500ms;
+constexpr auto calm_time = 3s;
+constexpr int troubles = 2;
+constexpr auto restart_delay = 500ms;
+constexpr int events = 20;
+constexpr int stream_callers = 36;
 
-constexpr auto copy_before_naming = 1s;
+/** Callers abandon a stream of this route after a pause of 2.4 s; the pause
+ *  begins within the first 200 ms. */
+constexpr auto abandon_after = 2600ms;
 
-/** From the last order of the holder on. */
-constexpr auto away_after = 100ms;
-constexpr auto back_after = 400ms;
-constexpr auto added_after = 450ms;
-constexpr auto named_after = 1000ms;
-constexpr auto end_after = 3400ms;
+/** One answer in this many is spoiled. */
+constexpr int spoiled_interval = 50;
 
-/** leaseMs of the sheet. */
-constexpr auto lease_time = 3000ms;
+/** Length of the spoiled id, bytes. */
+constexpr std::size_t spoiled_length = 70000;
 
-/** A fleet of instances before model servers of one model. */
-class fleet
+struct spoiler
 {
-public:
-    explicit fleet(record& log) : m_log(log), m_store(log)
-    {
-        json route = make_route("translate", "/translate/", "streaming",
-                                "scribe", 15000, 800, 1);
-        json const engine_settings = {
-            {"kvCapacity", 106776},
-            {"models", json::array({{{"name", model}}})}};
-        name(1);
-        m_store.put("op", "config",
-                    {{"version", 7},
-                     {"routes", json::array({route})},
-                     {"services", json::array({{{"name", "scribe"},
-                                                {"engine", engine_settings}}})},
-                     {"limits",
-                      {{"maxHeaderBytes", 16384},
-                       {"maxBodyBytes", 4194304},
-                       {"headerTimeoutMs", 3000},
-                       {"idleTimeoutMs", 15000}}}});
-        for (int i = 0; i < engines; ++i)
-        {
-            m_engines.push_back(std::make_unique<engine>(
-                "model-" + std::to_string(i), model, m_store, log));
-        }
-        for (std::string const zone :
-             {"ub-north", "ub-south", "ub-east", "ub-west"})
-        {
-            m_instances.push_back(std::make_unique<instance>(
-                "external-" + zone + "-1", zone, m_store.port(), sheet(),
-                m_files.path()));
-        }
-        m_added = std::make_unique<instance>(added, "ub-north", m_store.port(),
-                                             sheet(), m_files.path());
-        m_beats = std::thread([this] { send_beats(); });
-    }
-
-    ~fleet()
-    {
-        m_stopping = true;
-        m_beats.join();
-        for (auto const& item : m_instances)
-        {
-            item->kill();
-        }
-        m_added->kill();
-        for (auto const& item : m_engines)
-        {
-            item->stop();
-        }
-        m_store.stop();
-    }
-
-    fleet(fleet const&) = delete;
-    fleet& operator=(fleet const&) = delete;
-
-    void start(instance& item)
-    {
-        std::vector<std::string> seeds;
-        for (auto const& peer : m_instances)
-        {
-            seeds.push_back(peer->peer_address());
-        }
-        seeds.resize(std::min<std::size_t>(seeds.size(), 3));
-        item.start(seeds);
-        m_log.add(item.name() + " is started");
-    }
-
-    void start_all()
-    {
-        for (auto const& item : m_instances)
-        {
-            start(*item);
-        }
-    }
+    std::atomic<bool> m_active = false;
+    std::atomic<int> m_answers = 0;
 
-    void add_machine()
+    bool spoils_next()
     {
-        start(*m_added);
-    }
-
-    bool is_ready() const
-    {
-        return std::all_of(m_instances.begin(), m_instances.end(),
-                           [](auto const& item) { return item->is_ready(); });
+        return m_active && ++m_answers % spoiled_interval == 0;
     }
+};
 
-    /** The operator names new weights. */
-    void name(std::int64_t version)
+/** A model server: 20 events in 200 ms, from the one that is asked for. */
+void serve_streams(connection& caller, spoiler* wrong, record& log)
+{
+    message request;
+    while (caller.read_request(request) == end_kind::complete)
     {
-        for (auto const& item : m_engines)
+        bool const is_spoiled = wrong != nullptr && wrong->spoils_next();
+        caller.write(stream_head(request));
+        for (int i = std::atoi(request.field("Last-Event-Id").c_str()) + 1;
+             i <= events; ++i)
         {
-            item->note_named(version);
+            std::this_thread::sleep_for(10ms);
+            if (is_spoiled && i == events / 2)
+            {
+                log.add("faulty server: wrong bytes for " +
+                        request.field("X-Attempt-Id"));
+                caller.write(make_chunk(
+                    "id: " + std::string(spoiled_length, '7') + "\n\n"));
+                return;
+            }
+            caller.write(make_chunk(make_event(i)));
         }
-        m_store.put("op", std::string("version/") + model,
-                    {{"model", model}, {"version", version}});
-        m_log.add("operator: weights " + std::to_string(version) +
-                  " are named");
-    }
-
-    /** @return the order with this number, counted from 1 over all servers */
-    std::optional<received_order> order(std::size_t number)
-    {
-        std::vector<received_order> all;
-        for (auto const& item : m_engines)
+        if (!caller.write("0\r\n\r\n"))
         {
-            std::vector<received_order> const some = item->orders();
-            all.insert(all.end(), some.begin(), some.end());
+            return;
         }
-        std::sort(all.begin(), all.end(),
-                  [](received_order const& a, received_order const& b)
-                  { return a.m_at < b.m_at; });
-        return all.size() < number ? std::nullopt
-                                   : std::optional(all[number - 1]);
-    }
-
-    store& rows()
-    {
-        return m_store;
     }
+}
 
-    std::vector<std::unique_ptr<engine>> const& model_servers() const
+/** Reads one stream and abandons it at a long pause. */
+void read_stream(shop& deployment, std::string const& id)
+{
+    auto const caller = connection::open(deployment.entry().caller_port());
+    if (caller)
     {
-        return m_engines;
+        caller->write(stream_request("/caption/1", id, 5000));
+        message answer;
+        caller->read_answer(answer, abandon_after);
     }
+}
 
-private:
-    void send_beats()
+void send_streams(shop& deployment, int number)
+{
+    for (int i = 0; !deployment.is_stopping(); ++i)
     {
-        while (!m_stopping)
-        {
-            for (auto const& item : m_engines)
-            {
-                item->beat();
-            }
-            for (auto const until = clock::now() + heartbeat;
-                 !m_stopping && clock::now() < until;)
-            {
-                std::this_thread::sleep_for(20ms);
-            }
-        }
+        read_stream(deployment, "caption-" + std::to_string(number) + "-" +
+                                    std::to_string(i));
+        std::this_thread::sleep_for(20ms);
     }
+}
 
-    record& m_log;
-    temporary_folder m_files;
-    store m_store;
-    std::vector<std::unique_ptr<engine>> m_engines;
-    std::vector<std::unique_ptr<instance>> m_instances;
-    std::unique_ptr<instance> m_added;
-    std::atomic<bool> m_stopping = false;
-    std::thread m_beats;
-};
-
-/** @return whether orders of one server break the rule */
-bool is_broken(engine& server, record& log)
+/** The platform starts a process again that has ended. */
+void restart(shop& deployment, std::atomic<int>& ends, record& log)
 {
-    bool broken = false;
-    std::vector<received_order> const orders = server.orders();
-    for (std::size_t i = 1; i < orders.size(); ++i)
+    while (!deployment.is_stopping())
     {
-        received_order const& before = orders[i - 1];
-        received_order const& after = orders[i];
-        auto const gap =
-            std::chrono::duration_cast<milliseconds>(after.m_at - before.m_at);
-        bool const other = before.m_holder != after.m_holder;
-        bool const is_turn = other && gap < lease_time;
-        bool const is_shared = other && before.m_token == after.m_token;
-        bool const is_lower = after.m_token < before.m_token;
-        if (is_turn || is_shared || is_lower)
+        if (deployment.entry().has_ended())
         {
-            broken = true;
-            log.add(server.id() + ": an order by " + after.m_holder + " " +
-                    std::to_string(gap.count()) + " ms after one by " +
-                    before.m_holder +
-                    (is_turn ? ", a turn within leaseMs" : "") +
-                    (is_shared ? ", one token" : "") +
-                    (is_lower ? ", a lower token" : ""));
+            ++ends;
+            log.add("platform: the process has ended by itself");
+            std::this_thread::sleep_for(restart_delay);
+            deployment.entry().start({});
         }
+        std::this_thread::sleep_for(10ms);
     }
-    return broken;
 }
 
-/** @return exit status of the case */
-int play(record& log)
+int run(record& log)
 {
-    fleet system(log);
-    system.start_all();
-    if (!wait_until([&] { return system.is_ready(); }, 15s))
-    {
-        return 2;
-    }
-    std::this_thread::sleep_for(steady_time);
-    system.rows().keep_copy();
-    std::this_thread::sleep_for(copy_before_naming);
-    system.name(2);
-    std::optional<received_order> last;
-    wait_until([&] { return (last = system.order(engines)).has_value(); }, 10s);
-    if (!last)
+    spoiler wrong;
+    json route =
+        make_route("caption", "/caption/", "streaming", "scribe", 5000, 600, 2);
+    route["resumable"] = true;
+    shop deployment(
+        log,
+        [&](connection& caller, int number)
+        { serve_streams(caller, number == 0 ? &wrong : nullptr, log); },
+        json::array({route}));
+    if (!deployment.start())
     {
         return 2;
     }
-    std::this_thread::sleep_until(last->m_at + away_after);
-    if (has_trouble())
-    {
-        log.add("store: away");
-        system.rows().go_away();
-    }
-    std::this_thread::sleep_until(last->m_at + back_after);
-    if (has_trouble())
-    {
-        system.rows().come_back();
-        log.add("store: back from a copy");
-    }
-    std::this_thread::sleep_until(last->m_at + added_after);
-    system.add_machine();
-    std::this_thread::sleep_until(last->m_at + named_after);
-    system.name(3);
-    std::this_thread::sleep_until(last->m_at + end_after);
-    bool broken = false;
-    for (auto const& item : system.model_servers())
+    std::atomic<int> ends = 0;
+    deployment.start_callers();
+    for (int i = 0; i < stream_callers; ++i)
     {
-        broken = is_broken(*item, log) || broken;
+        deployment.run_thread([&, i] { send_streams(deployment, i); });
     }
-    return broken ? 1 : 0;
-}
-
-int run(record& log)
-{
-    int broken = 0;
-    for (int i = 0; i < rounds; ++i)
+    deployment.run_thread([&] { restart(deployment, ends, log); });
+    std::this_thread::sleep_for(steady_time);
+    for (int i = 0; i < troubles; ++i)
     {
-        log.add("round " + std::to_string(i + 1));
-        int const result = play(log);
-        if (result == 2)
+        if (has_trouble())
         {
-            return 2;
+            log.add("trouble begins");
+            wrong.m_active = true;
         }
-        broken += result;
-    }
-    log.add("ONE is broken in " + std::to_string(broken) + " of " +
-            std::to_string(rounds) + " rounds");
-    return broken > 0 ? 1 : 0;
+        std::this_thread::sleep_for(trouble_time);
+        wrong.m_active = false;
+        log.add("trouble ends");
+        std::this_thread::sleep_for(calm_time);
+    }
+    deployment.stop();
+    log.add("the process ended by itself " + std::to_string(ends) + " times");
+    return deployment.judge();
 }
 
 } // namespace
 
 int main(int argc, char** argv)
 {
-    if (argc != 2)
-    {
-        std::cerr << "usage: " << argv[0] << " FOLDER\n";
-        return 2;
-    }
-    std::signal(SIGPIPE, SIG_IGN);
-    try
-    {
-        record log(std::string(argv[1]) + "/record.txt");
-        return run(log);
-    }
-    catch (std::exception const& failure)
-    {
-        std::cerr << failure.what() << '\n';
-        return 2;
-    }
+    return run_case(argc, argv, &run);
 }
--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -1,5 +1,5 @@
-/** @file A model server spoils some answers with an event that has a very long
- *  id, and breaks off; the instance ends by a fault in its memory. */
+/** @file A model server sends bytes without end where the size of a chunk is
+ *  due; the instance keeps them all. */
 #include "../tools/shop.hpp"
 
 namespace
@@ -9,55 +9,50 @@
 using nlohmann::json;
 using namespace std::chrono_literals;
 
-constexpr auto steady_time = 3s;
-constexpr auto trouble_time = 5500ms;
-constexpr auto calm_time = 3s;
-constexpr int troubles = 2;
+constexpr auto steady_time = 4s;
+constexpr auto trouble_time = 8s;
 constexpr auto restart_delay = 500ms;
 constexpr int events = 20;
-constexpr int stream_callers = 36;
 
-/** Callers abandon a stream of this route after a pause of 2.4 s; the pause
- *  begins within the first 200 ms. */
-constexpr auto abandon_after = 2600ms;
+/** What an instance's own link carries, bytes a second: 700 Mbit/s. */
+constexpr double link_rate = 700e6 / 8;
 
-/** One answer in this many is spoiled. */
-constexpr int spoiled_interval = 50;
-
-/** Length of the spoiled id, bytes. */
-constexpr std::size_t spoiled_length = 70000;
-
-struct spoiler
+void send_without_end(connection& caller, record& log)
 {
-    std::atomic<bool> m_active = false;
-    std::atomic<int> m_answers = 0;
-
-    bool spoils_next()
+    std::string const bytes(64 << 10, 'x');
+    std::size_t sent = 0;
+    clock::time_point const began = clock::now();
+    while (caller.write(bytes))
     {
-        return m_active && ++m_answers % spoiled_interval == 0;
+        sent += bytes.size();
+        std::chrono::duration<double> const due(static_cast<double>(sent) /
+                                                link_rate);
+        std::this_thread::sleep_until(
+            began + std::chrono::duration_cast<clock::duration>(due));
     }
-};
+    log.add("server in trouble: the caller closed after " +
+            std::to_string(sent) + " bytes");
+}
 
-/** A model server: 20 events in 200 ms, from the one that is asked for. */
-void serve_streams(connection& caller, spoiler* wrong, record& log)
+/** A model server: 20 events in 400 ms. In trouble, a head and then bytes
+ *  without a line end until the caller closes. */
+void serve_streams(connection& caller, bool may_fail,
+                   std::atomic<bool> const& in_trouble, record& log)
 {
     message request;
     while (caller.read_request(request) == end_kind::complete)
     {
-        bool const is_spoiled = wrong != nullptr && wrong->spoils_next();
         caller.write(stream_head(request));
-        for (int i = std::atoi(request.field("Last-Event-Id").c_str()) + 1;
-             i <= events; ++i)
+        if (may_fail && in_trouble)
         {
-            std::this_thread::sleep_for(10ms);
-            if (is_spoiled && i == events / 2)
-            {
-                log.add("faulty server: wrong bytes for " +
-                        request.field("X-Attempt-Id"));
-                caller.write(make_chunk(
-                    "id: " + std::string(spoiled_length, '7') + "\n\n"));
-                return;
-            }
+            log.add("server in trouble: bytes without end for " +
+                    request.field("X-Attempt-Id"));
+            send_without_end(caller, log);
+            return;
+        }
+        for (int i = 1; i <= events; ++i)
+        {
+            std::this_thread::sleep_for(20ms);
             caller.write(make_chunk(make_event(i)));
         }
         if (!caller.write("0\r\n\r\n"))
@@ -67,81 +62,85 @@
     }
 }
 
-/** Reads one stream and abandons it at a long pause. */
-void read_stream(shop& deployment, std::string const& id)
-{
-    auto const caller = connection::open(deployment.entry().caller_port());
-    if (caller)
-    {
-        caller->write(stream_request("/caption/1", id, 5000));
-        message answer;
-        caller->read_answer(answer, abandon_after);
-    }
-}
-
+/** Starts translations one after the other. */
 void send_streams(shop& deployment, int number)
 {
     for (int i = 0; !deployment.is_stopping(); ++i)
     {
-        read_stream(deployment, "caption-" + std::to_string(number) + "-" +
-                                    std::to_string(i));
-        std::this_thread::sleep_for(20ms);
+        auto const caller = connection::open(deployment.entry().caller_port());
+        if (caller)
+        {
+            caller->write(stream_request("/translate/1",
+                                         "stream-" + std::to_string(number) +
+                                             "-" + std::to_string(i),
+                                         15000));
+            message answer;
+            clock::time_point const until = clock::now() + 15s;
+            while (!deployment.is_stopping() && clock::now() < until &&
+                   !caller->is_closed() &&
+                   caller->read_answer(answer, 500ms) == end_kind::timed_out)
+            {
+            }
+        }
+        std::this_thread::sleep_for(100ms);
     }
 }
 
-/** The platform starts a process again that has ended. */
-void restart(shop& deployment, std::atomic<int>& ends, record& log)
+/** The platform kills a process over its memory limit and starts it again. */
+void limit_memory(shop& deployment, record& log)
 {
+    std::size_t const limit = sheet().m_memory_mb;
+    std::size_t peak = 0;
+    int kills = 0;
     while (!deployment.is_stopping())
     {
-        if (deployment.entry().has_ended())
+        std::size_t const used = deployment.entry().memory() >> 20U;
+        peak = std::max(peak, used);
+        if (used > limit)
         {
-            ++ends;
-            log.add("platform: the process has ended by itself");
+            ++kills;
+            log.add("platform: the process has " + std::to_string(used) +
+                    " MB of " + std::to_string(limit) + " MB, killed");
+            deployment.entry().kill();
             std::this_thread::sleep_for(restart_delay);
             deployment.entry().start({});
         }
         std::this_thread::sleep_for(10ms);
     }
+    log.add("platform: peak of the process " + std::to_string(peak) +
+            " MB, killed " + std::to_string(kills) + " times");
 }
 
 int run(record& log)
 {
-    spoiler wrong;
-    json route =
-        make_route("caption", "/caption/", "streaming", "scribe", 5000, 600, 2);
-    route["resumable"] = true;
+    std::atomic<bool> in_trouble = false;
     shop deployment(
         log,
         [&](connection& caller, int number)
-        { serve_streams(caller, number == 0 ? &wrong : nullptr, log); },
-        json::array({route}));
+        { serve_streams(caller, number == 0, in_trouble, log); },
+        json::array({make_route("translate", "/translate/", "streaming",
+                                "scribe", 15000, 800, 1)}));
     if (!deployment.start())
     {
         return 2;
     }
-    std::atomic<int> ends = 0;
     deployment.start_callers();
-    for (int i = 0; i < stream_callers; ++i)
+    for (int i = 0; i < 2; ++i)
     {
         deployment.run_thread([&, i] { send_streams(deployment, i); });
     }
-    deployment.run_thread([&] { restart(deployment, ends, log); });
+    deployment.run_thread([&] { limit_memory(deployment, log); });
     std::this_thread::sleep_for(steady_time);
-    for (int i = 0; i < troubles; ++i)
+    if (has_trouble())
     {
-        if (has_trouble())
-        {
-            log.add("trouble begins");
-            wrong.m_active = true;
-        }
-        std::this_thread::sleep_for(trouble_time);
-        wrong.m_active = false;
-        log.add("trouble ends");
-        std::this_thread::sleep_for(calm_time);
+        log.add("trouble begins");
+        in_trouble = true;
     }
+    std::this_thread::sleep_for(trouble_time);
+    in_trouble = false;
+    log.add("trouble ends");
+    std::this_thread::sleep_for(1s);
     deployment.stop();
-    log.add("the process ended by itself " + std::to_string(ends) + " times");
     return deployment.judge();
 }
 
--- a/review/5/case.cpp
+++ b/review/5/case.cpp
@@ -1,7 +1,12 @@
-/** @file A model server sends bytes without end where the size of a chunk is
- *  due; the instance keeps them all. */
+/** @file All instances but one are killed at once; callers take up their
+ *  streams at the one that is left, which refuses most of them. */
 #include "../tools/shop.hpp"
 
+#include <algorithm>
+#include <csignal>
+#include <memory>
+#include <random>
+
 namespace
 {
 
@@ -9,139 +14,424 @@
 using nlohmann::json;
 using namespace std::chrono_literals;
 
-constexpr auto steady_time = 4s;
-constexpr auto trouble_time = 8s;
-constexpr auto restart_delay = 500ms;
-constexpr int events = 20;
+constexpr int zones = 4;
+constexpr int instances_per_zone = 4;
+constexpr int instances = zones * instances_per_zone;
+constexpr int streams_per_instance = 12;
+constexpr int new_streams = 40;
+constexpr int model_servers = 6;
+constexpr int model_slots = 48;
+constexpr int events = 40;
+constexpr auto event_interval = 100ms;
+constexpr int deadline_ms = 5000;
+
+/** Callers repeat a few times within their deadline, at other instances. */
+constexpr int tries = 4;
+constexpr auto pause_between_tries = 100ms;
 
-/** What an instance's own link carries, bytes a second: 700 Mbit/s. */
-constexpr double link_rate = 700e6 / 8;
+constexpr auto heartbeat = 1200ms;
+constexpr auto steady_time = 5s;
+constexpr auto kill_after = 1500ms;
+constexpr auto down_time = 1s;
 
-void send_without_end(connection& caller, record& log)
+/** Streams that the rule needs. */
+constexpr int min_taken_up = 12;
+
+/** A model server of one software version. */
+class model_server
 {
-    std::string const bytes(64 << 10, 'x');
-    std::size_t sent = 0;
-    clock::time_point const began = clock::now();
-    while (caller.write(bytes))
+public:
+    model_server(std::string id, std::string software, store& rows, record& log)
+        : m_id(std::move(id)), m_software(std::move(software)), m_rows(rows),
+          m_log(log), m_server([this](connection& caller) { serve(caller); })
+    {
+        beat();
+    }
+
+    void beat()
     {
-        sent += bytes.size();
-        std::chrono::duration<double> const due(static_cast<double>(sent) /
-                                                link_rate);
-        std::this_thread::sleep_until(
-            began + std::chrono::duration_cast<clock::duration>(due));
+        json row =
+            make_server_row("scribe", m_server.address(), model_slots, m_born);
+        row["version"] = m_software;
+        row["sequence"] = ++m_beats;
+        row["models"] = json::array({{{"name", "m0"}, {"version", 1}}});
+        m_rows.put("servers", m_id, row);
     }
-    log.add("server in trouble: the caller closed after " +
-            std::to_string(sent) + " bytes");
+
+    void stop()
+    {
+        m_server.stop();
+    }
+
+private:
+    void serve(connection& caller)
+    {
+        message request;
+        while (caller.read_request(request) == end_kind::complete)
+        {
+            m_log.add(m_id + " (" + m_software + "): runs " +
+                      request.field("X-Attempt-Id") + " after event " +
+                      request.field("Last-Event-Id"));
+            caller.write(stream_head(request));
+            for (int i = std::atoi(request.field("Last-Event-Id").c_str()) + 1;
+                 i <= events; ++i)
+            {
+                std::this_thread::sleep_for(event_interval);
+                if (!caller.write(make_chunk("id: " + std::to_string(i) +
+                                             "\ndata: " + m_software + "\n\n")))
+                {
+                    return;
+                }
+            }
+            if (!caller.write("0\r\n\r\n"))
+            {
+                return;
+            }
+        }
+    }
+
+    std::string m_id;
+    std::string m_software;
+    store& m_rows;
+    record& m_log;
+    std::int64_t m_born = unix_ms();
+    int m_beats = 0;
+    server m_server;
+};
+
+/** A stream over all tries of its caller. */
+struct stream
+{
+    std::string m_id;
+    int m_instance = 0; ///< of the first try
+    std::string m_bytes;
+    bool m_broke = false;
+    bool m_taken_up = false; ///< at the instance that is left
+    bool m_went_on = false;
+    std::string m_outcomes;
+};
+
+int last_event(std::string const& bytes)
+{
+    std::size_t const end = bytes.rfind("\n\n");
+    std::size_t const begin =
+        end == std::string::npos ? end : bytes.rfind("id: ", end);
+    return begin == std::string::npos ? 0
+                                      : std::atoi(bytes.c_str() + begin + 4);
+}
+
+/** @return the request of a stream that is taken up */
+std::string take_up_request(stream const& item, std::string const& id,
+                            milliseconds left)
+{
+    std::string request =
+        stream_request("/caption/1", item.m_id, static_cast<int>(left.count()));
+    std::string const field = "X-Attempt-Id: ";
+    request.replace(request.find(field) + field.size(), item.m_id.size(),
+                    id + "\r\nResumes: " + item.m_id + "\r\nLast-Event-Id: " +
+                        std::to_string(last_event(item.m_bytes)));
+    return request;
 }
 
-/** A model server: 20 events in 400 ms. In trouble, a head and then bytes
- *  without a line end until the caller closes. */
-void serve_streams(connection& caller, bool may_fail,
-                   std::atomic<bool> const& in_trouble, record& log)
+class fleet
 {
-    message request;
-    while (caller.read_request(request) == end_kind::complete)
+public:
+    explicit fleet(record& log) : m_log(log), m_store(log)
     {
-        caller.write(stream_head(request));
-        if (may_fail && in_trouble)
+        for (int i = 0; i < model_servers; ++i)
         {
-            log.add("server in trouble: bytes without end for " +
-                    request.field("X-Attempt-Id"));
-            send_without_end(caller, log);
-            return;
+            m_servers.push_back(std::make_unique<model_server>(
+                "model-" + std::to_string(i), i % 2 == 0 ? "v1" : "v2", m_store,
+                log));
         }
-        for (int i = 1; i <= events; ++i)
+        m_store.put("op", "version/m0", {{"model", "m0"}, {"version", 1}});
+        m_store.put("op", "config", make_configuration());
+        for (int i = 0; i < instances; ++i)
         {
-            std::this_thread::sleep_for(20ms);
-            caller.write(make_chunk(make_event(i)));
+            std::string const zone =
+                "zone-" + std::to_string(i / instances_per_zone);
+            m_instances.push_back(std::make_unique<instance>(
+                "external-" + zone + "-" + std::to_string(i), zone,
+                m_store.port(), sheet(), m_files.path()));
         }
-        if (!caller.write("0\r\n\r\n"))
+    }
+
+    ~fleet()
+    {
+        for (auto const& item : m_instances)
         {
-            return;
+            item->kill();
+        }
+        for (auto const& item : m_servers)
+        {
+            item->stop();
         }
+        m_store.stop();
     }
-}
 
-/** Starts translations one after the other. */
-void send_streams(shop& deployment, int number)
-{
-    for (int i = 0; !deployment.is_stopping(); ++i)
+    fleet(fleet const&) = delete;
+    fleet& operator=(fleet const&) = delete;
+
+    bool start()
+    {
+        for (auto const& item : m_instances)
+        {
+            item->start(seeds());
+        }
+        return wait_until(
+            [this]
+            {
+                return std::all_of(m_instances.begin(), m_instances.end(),
+                                   [](auto const& item)
+                                   { return item->is_ready(); });
+            },
+            30s);
+    }
+
+    void kill_all_but_first()
+    {
+        m_log.add("platform: kills " + std::to_string(instances - 1) + " of " +
+                  std::to_string(instances) + " processes");
+        for (int i = 1; i < instances; ++i)
+        {
+            m_instances[static_cast<std::size_t>(i)]->signal(SIGKILL);
+        }
+    }
+
+    void restart()
+    {
+        m_log.add("platform: starts them again");
+        for (int i = 1; i < instances; ++i)
+        {
+            instance& item = *m_instances[static_cast<std::size_t>(i)];
+            item.kill();
+            item.start(seeds());
+        }
+    }
+
+    void beat_until(clock::time_point until)
     {
-        auto const caller = connection::open(deployment.entry().caller_port());
-        if (caller)
+        while (clock::now() < until)
         {
-            caller->write(stream_request("/translate/1",
-                                         "stream-" + std::to_string(number) +
-                                             "-" + std::to_string(i),
-                                         15000));
-            message answer;
-            clock::time_point const until = clock::now() + 15s;
-            while (!deployment.is_stopping() && clock::now() < until &&
-                   !caller->is_closed() &&
-                   caller->read_answer(answer, 500ms) == end_kind::timed_out)
+            if (clock::now() - m_last_beat >= heartbeat)
             {
+                m_last_beat = clock::now();
+                for (auto const& item : m_servers)
+                {
+                    item->beat();
+                }
             }
+            std::this_thread::sleep_for(5ms);
         }
-        std::this_thread::sleep_for(100ms);
     }
+
+    int caller_port(int number) const
+    {
+        return m_instances[static_cast<std::size_t>(number)]->caller_port();
+    }
+
+private:
+    std::vector<std::string> seeds() const
+    {
+        return {m_instances[1]->peer_address(), m_instances[5]->peer_address(),
+                m_instances[9]->peer_address()};
+    }
+
+    static json make_configuration()
+    {
+        json route = make_route("caption", "/caption/", "streaming", "scribe",
+                                deadline_ms, 600, 2);
+        route["resumable"] = true;
+        json const engine = {{"kvCapacity", 106776},
+                             {"models", json::array({{{"name", "m0"}}})}};
+        return {{"version", 7},
+                {"routes", json::array({route})},
+                {"services",
+                 json::array({{{"name", "scribe"}, {"engine", engine}}})},
+                {"limits",
+                 {{"maxHeaderBytes", 16384},
+                  {"maxBodyBytes", 4194304},
+                  {"headerTimeoutMs", 3000},
+                  {"idleTimeoutMs", 15000}}}};
+    }
+
+    record& m_log;
+    temporary_folder m_files;
+    store m_store;
+    std::vector<std::unique_ptr<model_server>> m_servers;
+    std::vector<std::unique_ptr<instance>> m_instances;
+    clock::time_point m_last_beat;
+};
+
+/** Takes a stream up once. @return whether the caller is done with it */
+bool take_up(fleet const& all, stream& item, int number, int place,
+             milliseconds left)
+{
+    auto const caller = connection::open(all.caller_port(place));
+    std::string const id = item.m_id + "-" + std::to_string(number);
+    int const before = last_event(item.m_bytes);
+    message answer;
+    if (!caller || !caller->write(take_up_request(item, id, left)))
+    {
+        item.m_outcomes += " refused";
+        return false;
+    }
+    caller->read_answer(answer, left);
+    if (answer.m_start.empty())
+    {
+        item.m_outcomes += " closed";
+        return false;
+    }
+    item.m_outcomes += " " + std::to_string(answer.status());
+    item.m_outcomes += place == 0 ? "@0" : "";
+    item.m_taken_up = item.m_taken_up || place == 0;
+    if (answer.status() != 200)
+    {
+        return false;
+    }
+    item.m_bytes += answer.m_body;
+    item.m_went_on = last_event(item.m_bytes) > before;
+    return true;
 }
 
-/** The platform kills a process over its memory limit and starts it again. */
-void limit_memory(shop& deployment, record& log)
+/** @param breaks_at when the caller itself breaks its connection */
+void read_stream(fleet const& all, stream& item, clock::time_point breaks_at)
 {
-    std::size_t const limit = sheet().m_memory_mb;
-    std::size_t peak = 0;
-    int kills = 0;
-    while (!deployment.is_stopping())
-    {
-        std::size_t const used = deployment.entry().memory() >> 20U;
-        peak = std::max(peak, used);
-        if (used > limit)
+    clock::time_point const until = clock::now() + milliseconds(deadline_ms);
+    {
+        auto const caller = connection::open(all.caller_port(item.m_instance));
+        if (!caller || !caller->write(stream_request("/caption/1", item.m_id,
+                                                     deadline_ms)))
+        {
+            return;
+        }
+        message answer;
+        end_kind const ended = caller->read_answer(
+            answer, std::chrono::duration_cast<milliseconds>(
+                        std::min(until, breaks_at) - clock::now()));
+        item.m_bytes = answer.m_body;
+        item.m_broke =
+            ended != end_kind::complete && last_event(item.m_bytes) > 0;
+    }
+    if (!item.m_broke)
+    {
+        return;
+    }
+    std::mt19937 random(std::random_device{}());
+    for (int i = 1; i <= tries; ++i)
+    {
+        // Without the trouble the callers go to the same instance at once.
+        int const place =
+            has_trouble() ? static_cast<int>(random() % instances) : 0;
+        auto const left =
+            std::chrono::duration_cast<milliseconds>(until - clock::now());
+        if (left < 500ms || take_up(all, item, i, place, left))
         {
-            ++kills;
-            log.add("platform: the process has " + std::to_string(used) +
-                    " MB of " + std::to_string(limit) + " MB, killed");
-            deployment.entry().kill();
-            std::this_thread::sleep_for(restart_delay);
-            deployment.entry().start({});
+            return;
         }
-        std::this_thread::sleep_for(10ms);
+        std::this_thread::sleep_for(pause_between_tries);
+    }
+}
+
+bool begins(fleet const& all, std::string const& id)
+{
+    auto const caller = connection::open(all.caller_port(0));
+    message answer;
+    if (caller && caller->write(stream_request("/caption/1", id, deadline_ms)))
+    {
+        caller->read_answer(answer, 1500ms);
+    }
+    return last_event(answer.m_body) > 0;
+}
+
+int judge(std::vector<stream> const& items, int begun, record& log)
+{
+    int broke = 0;
+    int taken_up = 0;
+    int went_on = 0;
+    for (stream const& item : items)
+    {
+        broke += item.m_broke ? 1 : 0;
+        taken_up += item.m_taken_up ? 1 : 0;
+        went_on += item.m_taken_up && item.m_went_on ? 1 : 0;
+        log.add("caller: " + item.m_id + " of instance " +
+                std::to_string(item.m_instance) + ", tries:" + item.m_outcomes +
+                ", last event " + std::to_string(last_event(item.m_bytes)));
+    }
+    log.add(
+        "new streams at the instance that is left: " + std::to_string(begun) +
+        " of " + std::to_string(new_streams) + " begin");
+    log.add("streams: " + std::to_string(broke) + " broke, " +
+            std::to_string(taken_up) +
+            " taken up at the instance that is "
+            "left, " +
+            std::to_string(went_on) + " of them go on");
+    if (begun == 0 || taken_up < min_taken_up)
+    {
+        return 2;
     }
-    log.add("platform: peak of the process " + std::to_string(peak) +
-            " MB, killed " + std::to_string(kills) + " times");
+    bool const is_broken =
+        2.0 * went_on / taken_up < static_cast<double>(begun) / new_streams;
+    log.add(is_broken ? "LOST is broken" : "LOST holds");
+    return is_broken ? 1 : 0;
 }
 
 int run(record& log)
 {
-    std::atomic<bool> in_trouble = false;
-    shop deployment(
-        log,
-        [&](connection& caller, int number)
-        { serve_streams(caller, number == 0, in_trouble, log); },
-        json::array({make_route("translate", "/translate/", "streaming",
-                                "scribe", 15000, 800, 1)}));
-    if (!deployment.start())
+    fleet all(log);
+    if (!all.start())
     {
         return 2;
     }
-    deployment.start_callers();
-    for (int i = 0; i < 2; ++i)
+    all.beat_until(clock::now() + steady_time);
+    clock::time_point const began = clock::now();
+    clock::time_point const breaks_at =
+        has_trouble() ? clock::time_point::max() : began + kill_after;
+    std::vector<stream> items;
+    for (int i = 1; i < instances; ++i)
     {
-        deployment.run_thread([&, i] { send_streams(deployment, i); });
+        for (int j = 0; j < streams_per_instance; ++j)
+        {
+            items.push_back({"stream-" + std::to_string(items.size()),
+                             i,
+                             {},
+                             false,
+                             false,
+                             false,
+                             {}});
+        }
     }
-    deployment.run_thread([&] { limit_memory(deployment, log); });
-    std::this_thread::sleep_for(steady_time);
+    std::vector<std::thread> threads;
+    threads.reserve(items.size() + new_streams);
+    for (stream& item : items)
+    {
+        threads.emplace_back([&, breaks_at]
+                             { read_stream(all, item, breaks_at); });
+    }
+    all.beat_until(began + kill_after);
     if (has_trouble())
     {
-        log.add("trouble begins");
-        in_trouble = true;
+        all.kill_all_but_first();
+    }
+    std::atomic<int> begun = 0;
+    for (int i = 0; i < new_streams; ++i)
+    {
+        threads.emplace_back(
+            [&, i]
+            { begun += begins(all, "new-" + std::to_string(i)) ? 1 : 0; });
+        all.beat_until(clock::now() + 20ms);
+    }
+    all.beat_until(began + kill_after + down_time);
+    if (has_trouble())
+    {
+        all.restart();
+    }
+    all.beat_until(began + milliseconds(deadline_ms) + 500ms);
+    for (std::thread& item : threads)
+    {
+        item.join();
     }
-    std::this_thread::sleep_for(trouble_time);
-    in_trouble = false;
-    log.add("trouble ends");
-    std::this_thread::sleep_for(1s);
-    deployment.stop();
-    return deployment.judge();
+    return judge(items, begun, log);
 }
 
 } // namespace
