--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -15,7 +15,7 @@
 constexpr int troubles = 2;
 constexpr auto restart_delay = 500ms;
 constexpr int events = 20;
-constexpr int stream_callers = 36;
+constexpr int stream_callers = 22;
 
 /** Callers abandon a stream of this route after a pause of 2.4 s; the pause
  *  begins within the first 200 ms. */
