Test: [Entry] ports of instances and upstreams are outside of the automatic range

Cause: a free port was found by binding to port 0 and closing the listener. The kernel may hand the same port to the next such choice, of this process or another one, or to an outgoing connection; a crashed stand-in that listens again on its port has the same race. Change: ports come from below the automatic range (ip_local_port_range), where the kernel gives none away; each process hands each port out once and begins at a place of its own. A stand-in waits until it has its port again.

Ruled out: a retry around the whole instance; the tunnel was bound outside of it, and the peers of a half-built instance know its address already.

--- a/tests/entry/stand_in.cpp
+++ b/tests/entry/stand_in.cpp
@@ -16,6 +16,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <fstream>
 #include <sstream>
 
 namespace daisylead::entry_test
@@ -43,8 +44,8 @@
     return ntohs(address.sin_port);
 }
 
-/** @param port 0: any free one */
-int listen_on(int port)
+/** @return a listener, or -1 if the port is taken. */
+int try_to_listen(int port)
 {
     int const descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
     int const reuse = 1;
@@ -54,15 +55,65 @@
                sizeof address) != 0 ||
         ::listen(descriptor, 64) != 0)
     {
-        throw error("no free port for a test listener");
+        ::close(descriptor);
+        return -1;
     }
     return descriptor;
 }
 
-/** @return an address whose port was free at the time of the call. */
+/** Ports that the kernel gives to no other socket: those below the range of
+ *  automatic ports. Each is handed out once by this process, and processes
+ *  begin at different places. */
+class port_range
+{
+public:
+    port_range()
+    {
+        int automatic = 0;
+        std::ifstream("/proc/sys/net/ipv4/ip_local_port_range") >> automatic;
+        if (automatic > first_port + static_cast<int>(ports_per_process))
+        {
+            m_count = static_cast<unsigned>(automatic - first_port);
+        }
+        m_next = static_cast<unsigned>(::getpid()) * ports_per_process;
+    }
+
+    /** @return a listener on the next free port */
+    int listen_on_next()
+    {
+        std::lock_guard const lock(m_mutex);
+        for (unsigned tries = 0; tries < m_count; ++tries)
+        {
+            int const port = first_port + static_cast<int>(m_next++ % m_count);
+            if (int const descriptor = try_to_listen(port); descriptor >= 0)
+            {
+                return descriptor;
+            }
+        }
+        throw error("no free port for a test listener");
+    }
+
+private:
+    /** Ports below it belong to well-known services. */
+    static constexpr int first_port = 10000;
+    /** Distance between the first ports of two processes. */
+    static constexpr unsigned ports_per_process = 997;
+
+    std::mutex m_mutex;
+    unsigned m_next = 0;      ///< guarded by m_mutex
+    unsigned m_count = 22768; ///< ports below the usual automatic ones
+};
+
+int listen_on_free_port()
+{
+    static port_range ports;
+    return ports.listen_on_next();
+}
+
+/** @return an address whose port no other socket gets by chance. */
 std::string free_address()
 {
-    int const descriptor = listen_on(0);
+    int const descriptor = listen_on_free_port();
     int const port = port_of(descriptor);
     ::close(descriptor);
     return "127.0.0.1:" + std::to_string(port);
@@ -327,7 +378,7 @@
 }
 
 scripted_upstream::scripted_upstream(script run)
-    : m_run(std::move(run)), m_listener(listen_on(0)),
+    : m_run(std::move(run)), m_listener(listen_on_free_port()),
       m_address("127.0.0.1:" + std::to_string(port_of(m_listener))),
       m_acceptor([this] { accept_loop(); })
 {
@@ -380,7 +431,10 @@
                 std::stoi(m_address.substr(m_address.find(':') + 1));
             ::close(m_listener);
             std::this_thread::sleep_for(m_down_time.load());
-            m_listener = listen_on(port);
+            while ((m_listener = try_to_listen(port)) < 0 && !m_stopping)
+            {
+                std::this_thread::sleep_for(10ms);
+            }
             continue;
         }
         ++m_connections;
