Fix: [Entry] bytes without a line end filled the memory of an instance

A model server had sent bytes without end where the size of a chunk was due.

Cause: Beast's parser asks for more input until it has a whole line of chunk framing, and sets no limit to that; the buffer that it reads into had none either. Only the header and the decoded body were limited.

Change: the buffer of each reader is limited: 64 KB on connections to upstreams, the store and peers' tunnels, the same beside the header on those of callers (400 for framing that is too long), 16 KB for checks and 1 KB for requests for tunnels. Every reader of Beast in src/entry was looked at.

Ruled out: a limit by time, since a link fills 96 MB in about a second.

--- a/src/entry/caller_connection.hpp
+++ b/src/entry/caller_connection.hpp
@@ -74,7 +74,7 @@
     awaitable<void> wait_for_close(std::uint64_t watch_id);
 
     beast::tcp_stream m_stream;
-    beast::flat_buffer m_buffer;
+    beast::flat_buffer m_buffer{max_unparsed_size};
     std::function<void()> m_on_gone;
     std::uint64_t m_watch_id = 0; ///< id of the current watch; starts at 1
     bool m_watching = false;
--- a/src/entry/caller_server.cpp
+++ b/src/entry/caller_server.cpp
@@ -31,6 +31,9 @@
 /** Idle timeout of a connection for checks and metrics. */
 constexpr std::chrono::milliseconds checker_idle_timeout = 30s;
 
+/** Maximum size of a request for a check or metrics, bytes. */
+constexpr std::size_t max_check_size = 16384;
+
 /** Timeout for receiving a body; callers limit the whole request by their
  *  deadline. */
 constexpr std::chrono::milliseconds body_timeout = 15s;
@@ -185,6 +188,9 @@
         // A request counts as active from its first byte, so that a drain waits
         // for it.
         active_count const reading(m_state.m_active_requests);
+        // A header of the permitted size has to fit as well.
+        buffer.max_size(
+            std::max(buffer.size(), limits.m_max_header + max_unparsed_size));
         http::request_parser<http::string_body> parser;
         parser.header_limit(static_cast<std::uint32_t>(limits.m_max_header));
         parser.body_limit(limits.m_max_body);
@@ -234,6 +240,11 @@
                 auto const [status, text] = parse_error_answer(failure);
                 co_await reject(caller, status, text);
             }
+            else if (failure == http::error::buffer_overflow)
+            {
+                co_await reject(caller, 400,
+                                "a line of the chunk framing is too long");
+            }
             break;
         }
         if (m_closing)
@@ -312,20 +323,22 @@
 
 awaitable<void> text_server::serve(beast::tcp_stream stream)
 {
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer(max_check_size);
     bool open = true;
     while (open)
     {
-        http::request<http::string_body> request;
+        http::request_parser<http::string_body> parser;
+        parser.body_limit(max_check_size);
         beast::error_code failure;
         stream.expires_after(checker_idle_timeout);
         co_await http::async_read(
-            stream, buffer, request,
+            stream, buffer, parser,
             asio::redirect_error(asio::use_awaitable, failure));
         if (failure)
         {
             break;
         }
+        http::request<http::string_body> const request = parser.release();
         auto [status, text] = m_answer(std::string(request.target()));
         http::response<http::string_body> response;
         response.result(static_cast<unsigned>(status));
--- a/src/entry/http_connection.hpp
+++ b/src/entry/http_connection.hpp
@@ -24,6 +24,10 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
+/** Maximum number of bytes that are held before they can be parsed, for example
+ *  of the line with the size of a chunk. The parser itself sets no limit. */
+constexpr std::size_t max_unparsed_size = 65536;
+
 /** Result of a read operation. */
 enum class io_result
 {
@@ -133,7 +137,7 @@
 
     beast::tcp_stream m_stream;
     http_route m_way;
-    beast::flat_buffer m_buffer;
+    beast::flat_buffer m_buffer{max_unparsed_size};
     std::optional<http::request<http::string_body>> m_request;
     std::optional<http::response_parser<http::buffer_body>> m_parser;
     bool m_write_started = false;
--- a/src/entry/tunnel_server.cpp
+++ b/src/entry/tunnel_server.cpp
@@ -180,7 +180,7 @@
     beast::error_code failure;
     auto const remote = socket.remote_endpoint(failure);
     beast::tcp_stream stream(std::move(socket));
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer(max_request_size);
     http::request_parser<http::empty_body> parser;
     parser.header_limit(max_request_size);
     stream.expires_after(request_timeout);
--- a/tests/entry/stand_in.cpp
+++ b/tests/entry/stand_in.cpp
@@ -139,7 +139,8 @@
     return ::poll(&item, 1, static_cast<int>(timeout.count())) > 0;
 }
 
-void send_all(int descriptor, std::string const& bytes)
+/** @return whether all bytes were sent. */
+bool send_all(int descriptor, std::string const& bytes)
 {
     std::size_t sent = 0;
     while (sent < bytes.size())
@@ -148,10 +149,11 @@
                                     bytes.size() - sent, MSG_NOSIGNAL);
         if (size <= 0)
         {
-            return;
+            return false;
         }
         sent += static_cast<std::size_t>(size);
     }
+    return true;
 }
 
 std::size_t content_length(std::string header)
@@ -360,9 +362,9 @@
     }
 }
 
-void served_connection::write(std::string const& bytes) const
+bool served_connection::write(std::string const& bytes) const
 {
-    send_all(m_descriptor, bytes);
+    return send_all(m_descriptor, bytes);
 }
 
 bool served_connection::wait_for_close(std::chrono::milliseconds timeout) const
--- a/tests/entry/stand_in.hpp
+++ b/tests/entry/stand_in.hpp
@@ -33,7 +33,8 @@
      *  ended. */
     std::string read_request();
 
-    void write(std::string const& bytes) const;
+    /** @return whether all bytes were written. */
+    bool write(std::string const& bytes) const;
 
     /** Waits until the peer closes the connection.
      *  @return whether it did within @p timeout */
