Fix: [Entry] streams were joined from two software versions after a restart

A model server had started again under its id with v2 before the instance read its new row; the row was read, and then removed.

Cause: the version of a stream comes from the row that was known when the server was chosen. It was checked against the rows that are listed at the time of the join only: without a row, or without an answer of the store, nothing contradicted it.

Change: an instance remembers which processes were listed under each id, for ten minutes after they are gone (serving::process_history). A stream is joined if its version is proven: its process was listed after the connection on which it began was made, and no process with other software since its row appeared; or the service has had one version only, by a list that was read now. While the store gives no answer, the upstream that takes the stream over has to be proven in the same way, which kept connections are. What a peer tells of a stream bears the age of that connection and whether the peer has proof. Both fields may be missing: a stream that an earlier build tells of has to be proven by the receiver.

Ruled out: the start time alone (a restart with the same software joins nothing wrongly); a version in the answer (servers state none).

--- a/src/entry/fleet_state.cpp
+++ b/src/entry/fleet_state.cpp
@@ -57,6 +57,13 @@
  *  and go unseen: one that leaves is listed for two seconds after that. */
 constexpr duration max_list_gap = 2s;
 
+/** Time for which processes that are gone are remembered; far longer than a
+ *  stream lasts. */
+constexpr duration max_process_age = 10min;
+
+/** Maximum number of streams whose origin is known at a time. */
+constexpr std::size_t max_streams = 16384;
+
 /** Quarantine period of a request that crashed upstreams. */
 constexpr duration quarantine_period = 30s;
 
@@ -133,7 +140,8 @@
           pool_options(settings), &random_number,
           [this](upstream_id const& id, double per_second, time_point now)
           { return rate_share(id, per_second, now); }),
-      m_software(max_list_gap), m_quotas(peer_silent_after, quota_initial_fill),
+      m_software(max_list_gap), m_processes(max_process_age),
+      m_streams(max_streams), m_quotas(peer_silent_after, quota_initial_fill),
       m_retries({settings.m_retry_ratio,
                  static_cast<double>(settings.m_retry_extra),
                  settings.m_retry_window}),
@@ -331,6 +339,7 @@
 {
     auto const before = m_software.listed();
     m_software.note_list(m_upstreams.records(), read_at);
+    m_processes.note_list(m_upstreams.records(), read_at);
     for (auto const& [service, versions] : m_software.listed())
     {
         auto const known = before.find(service);
--- a/src/entry/fleet_state.hpp
+++ b/src/entry/fleet_state.hpp
@@ -9,8 +9,10 @@
 #include <daisylead/serving/fleet_roster_base.hpp>
 #include <daisylead/serving/freshness_base.hpp>
 #include <daisylead/serving/path_monitor_base.hpp>
+#include <daisylead/serving/process_history_base.hpp>
 #include <daisylead/serving/retry_throttle_base.hpp>
 #include <daisylead/serving/software_history_base.hpp>
+#include <daisylead/serving/stream_registry_base.hpp>
 #include <daisylead/serving/upstream_list_base.hpp>
 #include <daisylead/telemetry/metrics_base.hpp>
 
@@ -212,6 +214,8 @@
     std::optional<time_point> m_upstreams_read_at;
     serving::upstream_pool m_upstream_pool;
     serving::software_history m_software;
+    serving::process_history m_processes;
+    serving::stream_registry m_streams; ///< of all instances
     serving::quota_limiter m_quotas;
     serving::retry_throttle m_retries;
     request::quarantine m_quarantine;
--- a/src/entry/http_connection.cpp
+++ b/src/entry/http_connection.cpp
@@ -1,6 +1,8 @@
 /** @file HTTP client connection and connection pool. */
 #include "http_connection.hpp"
 
+#include <daisylead/entry/boot_time_func.hpp>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -108,11 +110,10 @@
         co_return failed;
     }
     m_stream.socket().set_option(asio::ip::tcp::no_delay(true), failure);
-    if (direct)
-    {
-        co_return connect_result::connected;
-    }
-    co_return co_await open_tunnel();
+    connect_result const result =
+        direct ? connect_result::connected : co_await open_tunnel();
+    m_connected_at = boot_time();
+    co_return result;
 }
 
 awaitable<connect_result> http_connection::open_tunnel()
--- a/src/entry/http_connection.hpp
+++ b/src/entry/http_connection.hpp
@@ -69,6 +69,12 @@
     /** @return whether the connection was established in time. */
     awaitable<connect_result> connect(std::chrono::milliseconds timeout);
 
+    /** @return when the connection was established. @pre connect() succeeded */
+    time_point connected_at() const
+    {
+        return m_connected_at;
+    }
+
     /** Starts a call.
      *  @param timeout for the whole call */
     void begin(http::request<http::string_body> request,
@@ -137,6 +143,7 @@
 
     beast::tcp_stream m_stream;
     http_route m_way;
+    time_point m_connected_at;
     beast::flat_buffer m_buffer{max_unparsed_size};
     std::optional<http::request<http::string_body>> m_request;
     std::optional<http::response_parser<http::buffer_body>> m_parser;
--- a/src/entry/request_attempt.cpp
+++ b/src/entry/request_attempt.cpp
@@ -180,6 +180,21 @@
         }
         co_return next_action::retry;
     }
+    if (m_needs_proven_target && !is_target_proven(place.m_upstream))
+    {
+        m_state.m_upstream_pool.note_ended(id, false, tokens);
+        m_connector.put(m_upstream);
+        note_attempt(place, "unproven", times);
+        if (++m_unreachable >= max_unreachable)
+        {
+            m_refusal = refusal{m_possible_runs > 0 ? 502 : 503, "unproven",
+                                "the software of the upstreams is not known "
+                                "for sure",
+                                suggested_retry_delay()};
+            co_return next_action::refuse;
+        }
+        co_return next_action::retry;
+    }
     if (auto refused = check_before_send(boot_time()))
     {
         m_state.m_upstream_pool.note_ended(id, false, tokens);
--- a/src/entry/request_runner.cpp
+++ b/src/entry/request_runner.cpp
@@ -170,20 +170,32 @@
     m_service = needed->m_service;
     m_software = needed->m_software;
     m_software_source = needed->m_source;
+    m_needs_proven_target = !needed->m_confirmed;
     co_return std::nullopt;
 }
 
 awaitable<bool> request_runner::confirm_stream_origin()
 {
-    bool const confirmed = co_await m_streams.confirm(m_origin);
-    if (!confirmed)
-    {
-        m_refusal = refusal{502, "stream_origin_changed",
-                            "the upstream that began the stream is another "
-                            "process now",
+    using join_check = stream_directory::join_check;
+    join_check const result = co_await m_streams.confirm(
+        m_origin, m_origin_connected_at, m_route.m_timeout);
+    m_needs_proven_target = result == join_check::unconfirmed;
+    if (result == join_check::refused)
+    {
+        m_refusal = refusal{502, "stream_origin_unproven",
+                            "it is not known for sure which software version "
+                            "began the stream",
                             std::nullopt};
     }
-    co_return confirmed;
+    co_return result != join_check::refused;
+}
+
+bool request_runner::is_target_proven(
+    serving::upstream_record const& upstream) const
+{
+    return m_state.m_processes.is_proven(
+        {upstream.m_id, upstream.m_started, upstream.m_software},
+        m_upstream->connected_at());
 }
 
 void request_runner::note_stream_begun(serving::upstream_record const& upstream)
@@ -199,7 +211,11 @@
                 upstream.m_id,
                 upstream.m_started,
                 upstream.m_software,
-                {}};
+                {},
+                {},
+                false};
+    m_origin_connected_at = m_upstream->connected_at();
+    m_origin.m_age = boot_time() - m_origin_connected_at;
     m_streams.note_begun(m_origin, m_route.m_timeout);
 }
 
--- a/src/entry/request_runner.hpp
+++ b/src/entry/request_runner.hpp
@@ -73,6 +73,9 @@
     /** Before a stream that has begun goes on at another upstream.
      *  @return whether the version of its first one is known for sure */
     awaitable<bool> confirm_stream_origin();
+    /** @return whether the software of the process that accepted the
+     *          connection of the current attempt is known for sure. */
+    bool is_target_proven(serving::upstream_record const& upstream) const;
     void note_stream_begun(serving::upstream_record const& upstream);
     awaitable<std::optional<serving::placement>> wait_for_placement();
     awaitable<next_action> attempt(serving::placement const& place);
@@ -126,7 +129,9 @@
     int m_sends = 0; ///< sends of which a byte may have left this instance
     int m_possible_runs = 0;   ///< sends that an upstream may have run
     int m_broken_attempts = 0; ///< attempts whose connection broke
-    int m_unreachable = 0; ///< upstreams that refused or timed out connections
+    /** Upstreams that refused or timed out connections, or whose process is not
+     *  known for sure. */
+    int m_unreachable = 0;
     std::shared_ptr<http_connection> m_upstream; ///< of the current attempt
     instance_id m_via; ///< peer whose tunnel the attempt uses; empty: none
     std::optional<silence_detector::watch>
@@ -136,9 +141,13 @@
     std::string m_stream_type;   ///< media type in that header
     /** Set once the stream must go on at upstreams of one version only. */
     std::optional<software_version> m_software;
-    std::string m_software_source;   ///< how m_software is known, for the log
-    serving::stream_origin m_origin; ///< of the stream that has begun
-    bool m_close_after = false;      ///< close the connection after this answer
+    std::string m_software_source; ///< how m_software is known, for the log
+    /** The processes of upstreams may have been replaced since service
+     *  discovery was read. */
+    bool m_needs_proven_target = false;
+    serving::stream_origin m_origin;  ///< of the stream that has begun
+    time_point m_origin_connected_at; ///< of the connection on which it began
+    bool m_close_after = false; ///< close the connection after this answer
     std::optional<refusal> m_refusal;
     int m_status = 0;
     std::string m_end_reason; ///< outcome in the log and metrics
--- a/src/entry/stream_directory.cpp
+++ b/src/entry/stream_directory.cpp
@@ -20,8 +20,9 @@
  *  first event: the rest of the request and all repetitions. */
 constexpr int lifetime_in_timeouts = 2;
 
-/** Maximum number of streams that are known at a time. */
-constexpr std::size_t max_streams = 4096;
+/** Maximum number of own streams that can be sent when a second version
+ *  appears. */
+constexpr std::size_t max_own_streams = 4096;
 
 /** Peers that get the origin of a stream. */
 constexpr std::size_t keepers = 3;
@@ -47,7 +48,7 @@
                                    fleet_state& state, fleet_exchange& exchange,
                                    confirm_hook confirm)
     : m_executor(executor), m_state(state), m_exchange(exchange),
-      m_confirm(std::move(confirm)), m_known(max_streams)
+      m_confirm(std::move(confirm))
 {
     m_exchange.set_message_handler([this](peer::message_body const& body)
                                    { return on_message(body); });
@@ -58,17 +59,14 @@
 }
 
 std::optional<software_version>
-stream_directory::sole_version(service_id const& service,
-                               std::chrono::milliseconds timeout,
+stream_directory::sole_version(service_id const& service, duration lifetime,
                                duration margin) const
 {
     time_point const now = boot_time();
     // An instance uses its list for as long as it may check keys with its
     // configuration.
     return m_state.m_software.sole_version(
-        service,
-        now - lifetime_in_timeouts * timeout -
-            m_state.m_settings.m_key_validity - margin,
+        service, now - lifetime - m_state.m_settings.m_key_validity - margin,
         now);
 }
 
@@ -77,14 +75,14 @@
 {
     time_point const now = boot_time();
     origin.m_lifetime = lifetime_in_timeouts * timeout;
-    m_known.add(origin, now);
+    m_state.m_streams.add(origin, now);
     while (!m_own.empty() &&
-           (m_own.front().first <= now || m_own.size() >= max_streams))
+           (m_own.front().first <= now || m_own.size() >= max_own_streams))
     {
         m_own.pop_front();
     }
-    m_own.emplace_back(now + origin.m_lifetime, origin);
-    if (sole_version(origin.m_service, timeout, proof_margin))
+    m_own.emplace_back(now + origin.m_lifetime, origin.m_stream);
+    if (sole_version(origin.m_service, origin.m_lifetime, proof_margin))
     {
         m_uniform[origin.m_service] = timeout;
         return;
@@ -100,20 +98,18 @@
     for (auto item = m_uniform.begin(); item != m_uniform.end();)
     {
         auto const [service, timeout] = *item;
-        if (sole_version(service, timeout, proof_margin))
+        if (sole_version(service, lifetime_in_timeouts * timeout, proof_margin))
         {
             ++item;
             continue;
         }
         item = m_uniform.erase(item);
-        for (auto const& [expires_at, origin] : m_own)
+        for (auto const& [expires_at, stream] : m_own)
         {
-            if (origin.m_service == service && expires_at > now)
+            auto origin = m_state.m_streams.find(stream, now);
+            if (origin && origin->m_service == service)
             {
-                unsent.push_back(origin);
-                unsent.back().m_lifetime =
-                    std::chrono::ceil<std::chrono::milliseconds>(expires_at -
-                                                                 now);
+                unsent.push_back(std::move(*origin));
             }
         }
     }
@@ -173,13 +169,14 @@
     time_point const now = boot_time();
     for (serving::stream_origin const& origin : records->m_origins)
     {
-        m_known.add(origin, now);
+        m_state.m_streams.add(origin, now);
     }
     peer::stream_records reply;
     for (std::string const& stream : records->m_asked)
     {
-        if (auto origin = m_known.find(stream, now))
+        if (auto origin = m_state.m_streams.find(stream, now))
         {
+            origin->m_proven = is_proven(*origin, now);
             reply.m_origins.push_back(std::move(*origin));
         }
     }
@@ -229,21 +226,36 @@
     co_return result->m_origin;
 }
 
-bool stream_directory::is_contradicted(
-    serving::stream_origin const& origin) const
+bool stream_directory::is_proven(serving::stream_origin const& origin,
+                                 time_point now) const
 {
-    // The upstream may have left since. Another process under its id may have
-    // begun the stream before its row was read.
-    serving::upstream_record const* const listed =
-        m_state.m_upstream_pool.find(origin.m_upstream);
-    return listed != nullptr && (listed->m_started != origin.m_started ||
-                                 listed->m_software != origin.m_software);
+    serving::upstream_process const process{origin.m_upstream, origin.m_started,
+                                            origin.m_software};
+    return origin.m_proven
+               ? !m_state.m_processes.is_contradicted(process)
+               : m_state.m_processes.is_proven(process, now - origin.m_age);
 }
 
-awaitable<bool> stream_directory::confirm(serving::stream_origin origin)
+awaitable<stream_directory::join_check>
+stream_directory::confirm(serving::stream_origin origin,
+                          time_point connected_at,
+                          std::chrono::milliseconds timeout)
 {
-    co_await m_confirm(boot_time());
-    co_return !is_contradicted(origin);
+    bool const confirmed = co_await m_confirm(boot_time());
+    time_point const now = boot_time();
+    origin.m_age = now - connected_at;
+    auto const sole = confirmed ? sole_version(origin.m_service,
+                                               lifetime_in_timeouts * timeout)
+                                : std::optional<software_version>();
+    if (sole != origin.m_software && !is_proven(origin, now))
+    {
+        telemetry::log(severity::info, "stream_origin_unproven",
+                       {{"stream", origin.m_stream},
+                        {"upstream", origin.m_upstream.value()},
+                        {"confirmed", confirmed}});
+        co_return join_check::refused;
+    }
+    co_return confirmed ? join_check::confirmed : join_check::unconfirmed;
 }
 
 awaitable<std::optional<stream_directory::requirement>>
@@ -252,34 +264,34 @@
 {
     bool const confirmed = co_await m_confirm(boot_time());
     std::optional<serving::stream_origin> origin =
-        m_known.find(stream, boot_time());
+        m_state.m_streams.find(stream, boot_time());
+    // Any instance may have begun the stream, with a list that was read before
+    // it was resumed.
+    service_id const& begun_by = origin ? origin->m_service : service;
+    auto const sole =
+        confirmed ? sole_version(begun_by, lifetime_in_timeouts * timeout)
+                  : std::optional<software_version>();
+    if (sole && (!origin || origin->m_software == *sole))
+    {
+        co_return requirement{begun_by, *sole, "only version", confirmed};
+    }
     std::string source = "known";
-    if (!origin)
+    if (!origin && !stream.empty())
     {
-        // Any instance may have begun the stream, with a list that was read
-        // before it was resumed.
-        auto const sole = confirmed ? sole_version(service, timeout)
-                                    : std::optional<software_version>();
-        if (sole)
-        {
-            co_return requirement{service, *sole, "only version"};
-        }
-        if (!stream.empty())
-        {
-            origin = co_await ask_peers(stream);
-            source = "peer";
-        }
+        origin = co_await ask_peers(stream);
+        source = "peer";
     }
-    if (!origin || is_contradicted(*origin))
+    if (!origin || !is_proven(*origin, boot_time()))
     {
         telemetry::log(severity::info, "stream_origin_unknown",
                        {{"stream", stream},
                         {"service", service.value()},
                         {"confirmed", confirmed},
-                        {"contradicted", origin.has_value()}});
+                        {"unproven", origin.has_value()}});
         co_return std::nullopt;
     }
-    co_return requirement{origin->m_service, origin->m_software, source};
+    co_return requirement{origin->m_service, origin->m_software, source,
+                          confirmed};
 }
 
 } // namespace daisylead::entry
--- a/src/entry/stream_directory.hpp
+++ b/src/entry/stream_directory.hpp
@@ -39,6 +39,16 @@
         service_id m_service;        ///< service that began the stream
         software_version m_software; ///< version that began it
         std::string m_source;        ///< how it is known, for the log
+        bool m_confirmed = false;    ///< service discovery was read again
+    };
+
+    /** Whether a stream may go on at another upstream. */
+    enum class join_check
+    {
+        refused,    ///< the version that began it is not known for sure
+        confirmed,  ///< service discovery was read again
+        unconfirmed ///< its version is known, but those of other upstreams may
+                    ///< have changed since the last read
     };
 
     /** Finds out which software version a stream needs.
@@ -52,8 +62,11 @@
 
     /** Reads service discovery again before a stream that this instance has
      *  begun goes on at another upstream.
-     *  @return whether it does not contradict the origin */
-    awaitable<bool> confirm(serving::stream_origin origin);
+     *  @param connected_at when the connection on which it began was made
+     *  @param timeout of its route */
+    awaitable<join_check> confirm(serving::stream_origin origin,
+                                  time_point connected_at,
+                                  std::chrono::milliseconds timeout);
 
 private:
     using reply_hook = std::function<void(peer::stream_records const&)>;
@@ -62,10 +75,10 @@
     void call_keeper(std::string const& address,
                      peer::stream_records const& records, int calls,
                      reply_hook const& on_reply);
-    bool is_contradicted(serving::stream_origin const& origin) const;
-    std::optional<software_version>
-    sole_version(service_id const& service, std::chrono::milliseconds timeout,
-                 duration margin = {}) const;
+    bool is_proven(serving::stream_origin const& origin, time_point now) const;
+    std::optional<software_version> sole_version(service_id const& service,
+                                                 duration lifetime,
+                                                 duration margin = {}) const;
     awaitable<std::optional<serving::stream_origin>>
     ask_peers(std::string stream);
     void on_upstreams();
@@ -76,11 +89,10 @@
     fleet_state& m_state;
     fleet_exchange& m_exchange;
     confirm_hook m_confirm;
-    /** Streams that this instance began or keeps for peers. */
-    serving::stream_registry m_known;
-    /** Streams that this instance began, for the time at which a second
-     *  version appears; oldest first. */
-    std::list<std::pair<time_point, serving::stream_origin>> m_own;
+    /** Ids of the streams that this instance began, with the end of their
+     *  lifetime, for the time at which a second version appears; oldest
+     *  first. */
+    std::list<std::pair<time_point, std::string>> m_own;
     /** Services whose streams need not be sent, with the route's timeout. */
     std::map<service_id, std::chrono::milliseconds> m_uniform;
 };
--- a/src/peer/codec.cpp
+++ b/src/peer/codec.cpp
@@ -471,6 +471,14 @@
     }
 }
 
+/** Rounds down: a connection must never look older than it is. */
+std::uint32_t to_wire(duration value)
+{
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(
+        std::chrono::floor<std::chrono::milliseconds>(value).count(), 0,
+        std::numeric_limits<std::uint32_t>::max()));
+}
+
 void encode_body(stream_records const& body, builder target)
 {
     auto records = target.initStreamRecords();
@@ -483,10 +491,9 @@
         origins[i].setUpstream(to_text(origin.m_upstream.value()));
         origins[i].setStarted(origin.m_started);
         origins[i].setSoftware(to_text(origin.m_software.value()));
-        origins[i].setLifetimeMs(
-            static_cast<std::uint32_t>(std::clamp<std::int64_t>(
-                origin.m_lifetime.count(), 0,
-                std::numeric_limits<std::uint32_t>::max())));
+        origins[i].setLifetimeMs(to_wire(origin.m_lifetime));
+        origins[i].setAgeMs(to_wire(origin.m_age));
+        origins[i].setProven(origin.m_proven);
     }
     auto asked = records.initAsked(size_of(body.m_asked));
     for (unsigned i = 0; i < size_of(body.m_asked); ++i)
@@ -495,6 +502,43 @@
     }
 }
 
+/** Streams share the entries of their processes, which are larger. */
+void encode_streams(std::vector<serving::begun_stream> const& streams,
+                    wire::FleetNews::Builder target)
+{
+    using source =
+        std::tuple<service_id, upstream_id, std::int64_t, software_version>;
+    std::map<source, std::uint16_t> positions;
+    std::vector<std::uint16_t> source_of;
+    for (serving::begun_stream const& stream : streams)
+    {
+        serving::stream_origin const& origin = stream.m_origin;
+        source_of.push_back(
+            positions
+                .try_emplace({origin.m_service, origin.m_upstream,
+                              origin.m_started, origin.m_software},
+                             static_cast<std::uint16_t>(positions.size()))
+                .first->second);
+    }
+    auto sources = target.initStreamSources(size_of(positions));
+    for (auto const& [item, position] : positions)
+    {
+        auto const& [service, upstream, started, software] = item;
+        sources[position].setService(to_text(service.value()));
+        sources[position].setUpstream(to_text(upstream.value()));
+        sources[position].setStarted(started);
+        sources[position].setSoftware(to_text(software.value()));
+    }
+    auto entries = target.initBegunStreams(size_of(streams));
+    for (unsigned i = 0; i < size_of(streams); ++i)
+    {
+        entries[i].setStream(static_cast<std::uint64_t>(streams[i].m_stream));
+        entries[i].setSource(source_of[i]);
+        entries[i].setAgeMs(to_wire(streams[i].m_origin.m_age));
+        entries[i].setLifetimeMs(to_wire(streams[i].m_origin.m_lifetime));
+    }
+}
+
 void encode_body(serving::fleet_news const& body, builder target)
 {
     auto item = target.initFleetNews();
@@ -817,7 +861,8 @@
              service_id(from_text(item.getService())),
              upstream_id(from_text(item.getUpstream())), item.getStarted(),
              software_version(from_text(item.getSoftware())),
-             std::chrono::milliseconds(item.getLifetimeMs())});
+             std::chrono::milliseconds(item.getLifetimeMs()),
+             std::chrono::milliseconds(item.getAgeMs()), item.getProven()});
     }
     body.m_asked = decode_texts(source.getAsked());
     return body;
--- a/src/peer/peer.capnp
+++ b/src/peer/peer.capnp
@@ -134,6 +134,8 @@
   started @3 :Int64;
   software @4 :Text;
   lifetimeMs @5 :UInt32;
+  ageMs @6 :UInt32;
+  proven @7 :Bool;
 }
 
 struct StreamRecords {
--- /dev/null
+++ b/src/serving/process_history.cpp
@@ -0,0 +1,98 @@
+/** @file Processes that service discovery listed under the id of an upstream.
+ */
+#include <daisylead/serving/process_history_base.hpp>
+
+#include <algorithm>
+
+namespace daisylead::serving
+{
+
+namespace
+{
+
+/** Maximum number of processes that are known for one id. */
+constexpr std::size_t max_processes = 8;
+
+/** Interval of dropping processes that are too old. */
+constexpr duration sweep_interval = std::chrono::seconds(30);
+
+} // namespace
+
+process_history::process_history(duration max_age) : m_max_age(max_age) {}
+
+void process_history::note_list(std::vector<upstream_record> const& list,
+                                time_point read_at)
+{
+    for (upstream_record const& record : list)
+    {
+        upstream_process process{record.m_id, record.m_started,
+                                 record.m_software};
+        std::vector<listing>& known = m_listings[record.m_id];
+        auto const found = std::find_if(known.begin(), known.end(),
+                                        [&](listing const& item)
+                                        { return item.m_process == process; });
+        if (found != known.end())
+        {
+            found->m_last_listed = std::max(found->m_last_listed, read_at);
+            continue;
+        }
+        if (known.size() >= max_processes)
+        {
+            known.erase(known.begin());
+        }
+        known.push_back({std::move(process), read_at, read_at});
+    }
+    if (read_at < m_next_sweep)
+    {
+        return;
+    }
+    m_next_sweep = read_at + sweep_interval;
+    for (auto& [id, known] : m_listings)
+    {
+        std::erase_if(known, [&](listing const& item)
+                      { return read_at - item.m_last_listed > m_max_age; });
+    }
+    std::erase_if(m_listings,
+                  [](auto const& entry) { return entry.second.empty(); });
+}
+
+process_history::listing const*
+process_history::find(upstream_process const& process) const
+{
+    auto const known = m_listings.find(process.m_upstream);
+    if (known == m_listings.end())
+    {
+        return nullptr;
+    }
+    auto const found = std::find_if(known->second.begin(), known->second.end(),
+                                    [&](listing const& item)
+                                    { return item.m_process == process; });
+    return found == known->second.end() ? nullptr : &*found;
+}
+
+bool process_history::is_contradicted(upstream_process const& process) const
+{
+    auto const known = m_listings.find(process.m_upstream);
+    if (known == m_listings.end())
+    {
+        return false;
+    }
+    listing const* const own = find(process);
+    return std::any_of(
+        known->second.begin(), known->second.end(),
+        [&](listing const& item)
+        {
+            return item.m_process.m_software != process.m_software &&
+                   (own == nullptr || item.m_last_listed > own->m_first_listed);
+        });
+}
+
+bool process_history::is_proven(upstream_process const& process,
+                                time_point connected_at) const
+{
+    listing const* const own = find(process);
+    return own != nullptr && own->m_last_listed >= connected_at &&
+           !is_contradicted(process);
+}
+
+} // namespace daisylead::serving
--- a/tests/entry/stream_software_test.cpp
+++ b/tests/entry/stream_software_test.cpp
@@ -6,6 +6,7 @@
 #include <random>
 #include <set>
 #include <sstream>
+#include <thread>
 
 using namespace daisylead;
 using namespace daisylead::entry_test;
@@ -39,9 +40,10 @@
 /** How an engine ends a stream that it begins. */
 enum class first_part
 {
-    stays_open, ///< nothing comes after the first event
-    breaks_off, ///< the connection ends after the first event
-    is_whole    ///< all events come
+    stays_open,  ///< nothing comes after the first event
+    breaks_off,  ///< the connection ends after the first event
+    breaks_late, ///< the same 2 s later
+    is_whole     ///< all events come
 };
 
 /** An engine whose events name its software version. */
@@ -78,6 +80,15 @@
         return m_record;
     }
 
+    /** @return the row of a process that served before under the same id. */
+    serving::upstream_record older_record(std::string const& version) const
+    {
+        serving::upstream_record record = m_record;
+        record.m_started = 0;
+        record.m_software = software_version(version);
+        return record;
+    }
+
 private:
     /** @return whether the connection can be used again. */
     static bool answer(served_connection& connection,
@@ -97,6 +108,10 @@
             {
                 connection.wait_for_close(5s);
             }
+            if (resumed.empty() && begins == first_part::breaks_late)
+            {
+                connection.wait_for_close(2s);
+            }
             if (resumed.empty() && begins != first_part::is_whole)
             {
                 return false;
@@ -275,6 +290,53 @@
     CHECK(is_refused(instance.exchange(resume_request("a2", "a1"))));
 }
 
+TEST_CASE("a stream is not joined after its process was listed and removed")
+{
+    // Guards against forgetting the row of the process that began the stream:
+    // it was read while the process was listed, after the stream had begun.
+    engine_list engines;
+    engines.push_back(
+        std::make_unique<engine>("u1", "v2", "a", first_part::breaks_late));
+    engines.push_back(
+        std::make_unique<engine>("u2", "v1", "b", first_part::is_whole));
+    auto const restarted = records_of(engines);
+    serving::catalog catalog = make_stream_catalog();
+    catalog.m_routes.front().m_timeout = 4000ms;
+    running_instance instance(catalog,
+                              {engines[0]->older_record("v1"), restarted[1]});
+    std::string first;
+    std::thread caller(
+        [&] { first = instance.exchange(make_request("a1"), 3000ms); });
+    std::this_thread::sleep_for(100ms);
+    instance.set_upstreams(restarted);
+    std::this_thread::sleep_for(800ms);
+    instance.set_upstreams({restarted[1]});
+    std::this_thread::sleep_for(800ms);
+    CHECK(is_refused(instance.exchange(resume_request("a2", "a1"))));
+    caller.join();
+    CHECK(versions_in(first) == std::vector<std::string>{"v2"});
+    CHECK_FALSE(is_whole(first));
+}
+
+TEST_CASE("a stream is not joined while its process cannot be confirmed")
+{
+    // Guards against the row of a process that was replaced while the store
+    // gave no answer.
+    engine_list engines;
+    engines.push_back(
+        std::make_unique<engine>("u1", "v2", "a", first_part::breaks_off));
+    engines.push_back(
+        std::make_unique<engine>("u2", "v1", "b", first_part::is_whole));
+    running_instance instance(
+        make_stream_catalog(),
+        {engines[0]->older_record("v1"), engines[1]->record()});
+    instance.fail_store();
+    std::string const first = instance.exchange(make_request("a1"));
+    CHECK(versions_in(first) == std::vector<std::string>{"v2"});
+    CHECK_FALSE(is_whole(first));
+    CHECK(is_refused(instance.exchange(resume_request("a2", "a1"))));
+}
+
 TEST_CASE("a resumed stream goes on at its version when its instance is gone")
 {
     engine_list engines;
