Fix: [Entry] the id of a spoiled event went into a header field unchecked

Cause: the id of the last event names the place at which the next server goes on, and the splitter took any bytes for an id.

Change: an id of more than 1,024 bytes, or with bytes that no header field may hold, makes its event invalid. What came before is passed on, the event is not, and the stream goes on at another server after the last valid one.

Looked at besides: fields, reason and weights of answers come from a parsed header of at most 32 KB; the caller's own Last-Event-Id is a parsed field.

--- a/include/daisylead/serving/event_splitter_base.hpp
+++ b/include/daisylead/serving/event_splitter_base.hpp
@@ -13,9 +13,17 @@
 {
 public:
     /** Appends received bytes.
-     *  @return bytes of the events that are complete now */
+     *  @return bytes of the events that are complete now and valid */
     std::string take(std::string_view bytes);
 
+    /** @return whether an event had an id that no header field can hold, so
+     *          that the stream could not be resumed after it; take() outputs
+     *          only what came before. */
+    bool has_invalid_event() const
+    {
+        return m_invalid_event;
+    }
+
     /** The stream goes on with the bytes of another upstream. Discards the
      *  buffered incomplete event. */
     void drop_partial()
@@ -23,6 +31,7 @@
         m_cut_event = m_cut_event || has_partial();
         m_partial.clear();
         m_resumes_after = m_last_id;
+        m_invalid_event = false;
     }
 
     /** @return whether an event that was cut has not come again, so that the
@@ -63,6 +72,7 @@
     std::string m_resumes_after; ///< id before the next event; empty: any
     bool m_cut_event = false;
     bool m_out_of_order = false;
+    bool m_invalid_event = false;
 };
 
 } // namespace daisylead::serving
--- a/src/entry/request_attempt.cpp
+++ b/src/entry/request_attempt.cpp
@@ -579,6 +579,11 @@
                 co_return next_action::done;
             }
         }
+        if (m_splitter.has_invalid_event())
+        {
+            upstream.abort();
+            co_return after_failure(true, "event_not_valid");
+        }
         if (ended)
         {
             m_connector.put(m_upstream);
--- a/src/serving/event_splitter.cpp
+++ b/src/serving/event_splitter.cpp
@@ -1,6 +1,7 @@
 /** @file Splits a byte stream into complete server-sent events. */
 #include <daisylead/serving/event_splitter_base.hpp>
 
+#include <algorithm>
 #include <charconv>
 #include <cstdint>
 #include <optional>
@@ -57,6 +58,18 @@
     return id;
 }
 
+/** Maximum size of the id of an event, bytes; ids are numbers or short
+ *  names. */
+constexpr std::size_t max_id_size = 1024;
+
+/** @return whether a header field can hold the id. */
+bool is_valid_id(std::string_view id)
+{
+    return id.size() <= max_id_size &&
+           std::none_of(id.begin(), id.end(),
+                        [](unsigned char c) { return c < 0x20 || c == 0x7f; });
+}
+
 /** @return whether an id may follow another one; ids that are not numbers only
  *          have to differ. */
 bool is_after(std::string const& id, std::string const& previous)
@@ -83,12 +96,21 @@
 {
     m_partial.append(bytes);
     m_out_of_order = false;
+    m_invalid_event = false;
     std::size_t done = 0;
     for (std::size_t end = end_of_event(m_partial, 0); end != std::string::npos;
          end = end_of_event(m_partial, done))
     {
         std::string id =
             id_of(std::string_view(m_partial).substr(done, end - done));
+        if (!is_valid_id(id))
+        {
+            std::string valid = m_partial.substr(0, done);
+            m_partial.clear();
+            m_cut_event = true;
+            m_invalid_event = true;
+            return valid;
+        }
         if (!id.empty())
         {
             if (!m_resumes_after.empty() && !is_after(id, m_resumes_after))
--- /dev/null
+++ b/tests/entry/spoiled_event_test.cpp
@@ -0,0 +1,97 @@
+/** @file Tests of spoiled events and of requests that end by an exception. */
+#include "stand_in.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace daisylead;
+using namespace daisylead::entry_test;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+std::string const event_1 = "id: 1\ndata: a\n\n";
+std::string const event_2 = "id: 2\ndata: b\n\n";
+std::string const last_chunk = "0\r\n\r\n";
+std::string const stream_head =
+    "HTTP/1.1 200 OK\r\nId: a1\r\nSeal: s\r\nContent-Type: text/event-stream"
+    "\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+std::string chunk(std::string const& bytes)
+{
+    char size[16];
+    std::snprintf(size, sizeof size, "%zx", bytes.size());
+    return std::string(size) + "\r\n" + bytes + "\r\n";
+}
+
+std::string make_request(std::string const& fields = "")
+{
+    return "POST /again/x HTTP/1.1\r\nHost: h\r\nId: a1\r\n" + fields +
+           "Content-Length: 0\r\n\r\n";
+}
+
+/** An upstream that sends the next answer to each request, and the record of
+ *  service discovery for it. */
+struct listed_upstream
+{
+    listed_upstream(std::string const& id, scripted_upstream::script run)
+        : m_upstream(std::move(run))
+    {
+        m_record.m_id = upstream_id(id);
+        m_record.m_service = service_id("s");
+        m_record.m_address = m_upstream.address();
+        m_record.m_zone = zone_id("a");
+        m_record.m_slots = 10;
+        m_record.m_started = 1;
+    }
+
+    scripted_upstream m_upstream;
+    serving::upstream_record m_record;
+};
+
+serving::catalog make_stream_catalog()
+{
+    serving::catalog catalog = make_open_catalog(400ms);
+    for (serving::route& route : catalog.m_routes)
+    {
+        route.m_streaming = true;
+        route.m_resumable = true;
+        route.m_max_upstreams = 2;
+    }
+    return catalog;
+}
+
+} // namespace
+
+TEST_CASE("a stream goes on at another upstream after an event with a bad id")
+{
+    // Guards against an id that no header field can hold: the request to the
+    // next upstream names the last event.
+    for (std::string const& id :
+         {std::string(70000, 'x'), std::string(2000, '7'), std::string("\x01"),
+          std::string("2\0", 2), std::string("2\x7f")})
+    {
+        std::vector<std::string> const answers = {
+            stream_head + chunk(event_1 + "id: " + id + "\ndata: b\n\n"),
+            stream_head + chunk(event_2) + last_chunk};
+        std::atomic<std::size_t> next = 0;
+        auto const script = [&](served_connection& connection)
+        {
+            if (!connection.read_request().empty() && next < answers.size())
+            {
+                connection.write(answers[next++]);
+            }
+        };
+        listed_upstream const first("u1", script);
+        listed_upstream const second("u2", script);
+        running_instance instance(make_stream_catalog(),
+                                  {first.m_record, second.m_record});
+        std::string const answer = instance.exchange(make_request());
+        CAPTURE(id.size());
+        CHECK(answer.substr(
+                  std::min(answer.size(), answer.find("\r\n\r\n") + 4)) ==
+              chunk(event_1) + chunk(event_2) + last_chunk);
+    }
+}
