Fix: [Entry] a request that ended by an exception left a hook to a freed object

Cause: request_runner::run() gave the connection a hook with `this` and took it back at its normal end only. After an exception the connection lived on, with the hook to a runner that was gone, and its caller got no answer.

Change: the hook belongs to a caller_watch, a member of the runner that ends with it. The runner turns an exception into a final answer: 503 if nothing was sent, 502 if an upstream may have run it, a closed connection if an answer had begun; the attempt no longer counts as in flight. A request is built before it counts as sent.

Other hooks looked at: the silence detector (a registration that ends by itself), message handlers, timers and peers' replies (they belong to objects that live as long as the instance), active requests (shared count).

--- a/src/entry/caller_connection.cpp
+++ b/src/entry/caller_connection.cpp
@@ -89,6 +89,18 @@
     }
 }
 
+caller_watch::caller_watch(std::shared_ptr<caller_connection> caller,
+                           std::function<void()> on_gone)
+    : m_caller(std::move(caller))
+{
+    m_caller->watch(std::move(on_gone));
+}
+
+caller_watch::~caller_watch()
+{
+    m_caller->stop_watching();
+}
+
 awaitable<bool> caller_connection::write(caller_answer answer, bool close,
                                          bool head)
 {
--- a/src/entry/caller_connection.hpp
+++ b/src/entry/caller_connection.hpp
@@ -35,11 +35,6 @@
         return m_buffer;
     }
 
-    /** Calls @p on_gone if the caller closes the connection before
-     *  stop_watching(). */
-    void watch(std::function<void()> on_gone);
-    void stop_watching();
-
     /** @return whether the caller closed the connection. */
     bool is_gone() const
     {
@@ -71,6 +66,10 @@
     awaitable<void> linger_and_close();
 
 private:
+    friend class caller_watch;
+
+    void watch(std::function<void()> on_gone);
+    void stop_watching();
     awaitable<void> wait_for_close(std::uint64_t watch_id);
 
     beast::tcp_stream m_stream;
@@ -81,4 +80,19 @@
     bool m_gone = false;
 };
 
+/** Calls a hook if the caller closes the connection within the lifetime of this
+ *  object. The connection may live longer than what the hook refers to. */
+class caller_watch
+{
+public:
+    caller_watch(std::shared_ptr<caller_connection> caller,
+                 std::function<void()> on_gone);
+    ~caller_watch();
+    caller_watch(caller_watch const&) = delete;
+    caller_watch& operator=(caller_watch const&) = delete;
+
+private:
+    std::shared_ptr<caller_connection> m_caller;
+};
+
 } // namespace daisylead::entry
--- a/src/entry/request_attempt.cpp
+++ b/src/entry/request_attempt.cpp
@@ -141,6 +141,17 @@
     return m_route.m_prompted && (m_route.m_streaming || m_route.m_repeatable);
 }
 
+void request_runner::end_count()
+{
+    if (m_counted_at)
+    {
+        m_state.m_upstream_pool.note_ended(
+            *m_counted_at, m_answer_begun,
+            m_description.m_tokens.value_or(token_count()));
+        m_counted_at.reset();
+    }
+}
+
 awaitable<request_runner::next_action>
 request_runner::attempt(serving::placement const& place)
 {
@@ -149,11 +160,12 @@
     bool const is_repeat = !m_tried.insert(id).second;
     token_count const tokens = m_description.m_tokens.value_or(token_count());
     m_state.m_upstream_pool.note_sent(id, m_prefix, tokens);
-    bool first_bytes = false;
+    m_counted_at = id;
+    m_answer_begun = false;
     auto const left_to_connect = std::min(time_left(), connect_timeout);
     if (left_to_connect < 1ms)
     {
-        m_state.m_upstream_pool.note_ended(id, false, tokens);
+        end_count();
         co_return after_timeout();
     }
     // A copy of the refusal of the former attempt bears the id of this one; it
@@ -164,7 +176,7 @@
     m_via = made.m_via;
     if (!m_upstream)
     {
-        m_state.m_upstream_pool.note_ended(id, false, tokens);
+        end_count();
         m_state.m_upstream_pool.note_unreachable(id, boot_time());
         if (made.m_upstream_down)
         {
@@ -182,7 +194,7 @@
     }
     if (m_needs_proven_target && !is_target_proven(place.m_upstream))
     {
-        m_state.m_upstream_pool.note_ended(id, false, tokens);
+        end_count();
         m_connector.put(m_upstream);
         note_attempt(place, "unproven", times);
         if (++m_unreachable >= max_unreachable)
@@ -197,7 +209,7 @@
     }
     if (auto refused = check_before_send(boot_time()))
     {
-        m_state.m_upstream_pool.note_ended(id, false, tokens);
+        end_count();
         m_upstream->abort();
         m_refusal = m_possible_runs > 0
                         ? refusal{502, refused->m_code, refused->m_message,
@@ -209,7 +221,7 @@
     if (m_route.m_prompted && !m_state.m_upstream_pool.may_send(
                                   id, m_description.m_model, boot_time()))
     {
-        m_state.m_upstream_pool.note_ended(id, false, tokens);
+        end_count();
         m_upstream->abort();
         note_attempt(place, "outdated", times);
         co_return next_action::retry;
@@ -217,10 +229,12 @@
     auto const left = time_left();
     if (left < 1ms || m_caller->is_gone())
     {
-        m_state.m_upstream_pool.note_ended(id, false, tokens);
+        end_count();
         m_upstream->abort();
         co_return m_caller->is_gone() ? next_action::done : after_timeout();
     }
+    http::request<http::string_body> message =
+        make_upstream_request(place, left);
     ++m_sends;
     times.m_sent = boot_time();
     times.m_outdated_for = m_state.m_upstream_pool.outdated_for(
@@ -233,8 +247,7 @@
     m_state.m_part_quarantine.attempt_begun(
         current_attempt, m_shared_parts,
         {id, incarnation(place.m_upstream.m_started)});
-    m_upstream->begin(make_upstream_request(place, left),
-                      left + deadline_answer_margin);
+    m_upstream->begin(std::move(message), left + deadline_answer_margin);
 
     m_silence_watch.emplace(
         m_silence_detector,
@@ -372,7 +385,7 @@
             m_state.m_upstream_pool.note_first_bytes(id);
             m_state.m_part_quarantine.answer_begun(current_attempt,
                                                    boot_time());
-            first_bytes = true;
+            m_answer_begun = true;
             bool const genuine = info.m_sealed && !info.m_encoded;
             if (success && !genuine)
             {
@@ -450,7 +463,7 @@
             m_crash_detector.check(place.m_upstream);
         }
     }
-    m_state.m_upstream_pool.note_ended(id, first_bytes, tokens);
+    end_count();
     m_state.note_suspects(m_state.m_quarantine.attempt_ended(
         current_attempt, outcome, boot_time()));
     note_attempt(place, outcome_label, times);
--- a/src/entry/request_runner.cpp
+++ b/src/entry/request_runner.cpp
@@ -92,6 +92,72 @@
 {
     m_began = boot_time();
     m_deadline = m_began;
+    m_close_after = true;
+    bool failed = false;
+    try
+    {
+        co_await handle();
+    }
+    catch (std::exception const& failure)
+    {
+        telemetry::log(severity::error, "request_failed",
+                       {{"request", m_description.m_id},
+                        {"sends", m_sends},
+                        {"error", failure.what()}});
+        failed = true;
+    }
+    if (failed)
+    {
+        end_failed_attempt();
+        co_await answer_failure();
+    }
+    m_caller_watch.reset();
+    log_end();
+    co_return !m_close_after && !m_caller->is_gone();
+}
+
+void request_runner::end_failed_attempt()
+{
+    m_silence_watch.reset();
+    if (m_upstream)
+    {
+        m_upstream->abort();
+        m_upstream.reset();
+    }
+    end_count();
+    attempt_id const attempt(m_description.m_id + "/" +
+                             std::to_string(m_sends));
+    m_state.note_attempt_ended(attempt, request::attempt_outcome::cancelled);
+    m_state.m_quarantine.attempt_ended(
+        attempt, request::attempt_outcome::cancelled, boot_time());
+}
+
+awaitable<void> request_runner::answer_failure()
+{
+    m_close_after = true;
+    if (m_status != 0)
+    {
+        // Another answer has begun; only the end of the connection tells the
+        // caller that it is incomplete.
+        m_caller->abort();
+    }
+    if (m_status != 0 || m_caller->is_gone())
+    {
+        co_return;
+    }
+    refusal reason{503, "internal_error",
+                   "the request ended by an error of this instance",
+                   other_instance_retry_delay};
+    if (m_sends > 0)
+    {
+        reason.m_status = 502;
+        reason.m_retry_after.reset();
+    }
+    co_await refuse(reason);
+}
+
+awaitable<void> request_runner::handle()
+{
     m_description = m_state.m_adapter.m_describe(m_request.base());
     m_close_after = m_state.m_draining || !m_request.keep_alive();
     m_refusal = check();
@@ -101,14 +167,14 @@
     }
     if (!m_refusal)
     {
-        m_caller->watch(
-            [this]
-            {
-                if (m_upstream)
-                {
-                    m_upstream->abort();
-                }
-            });
+        m_caller_watch.emplace(m_caller,
+                               [this]
+                               {
+                                   if (m_upstream)
+                                   {
+                                       m_upstream->abort();
+                                   }
+                               });
     }
     next_action next = m_refusal ? next_action::refuse : next_action::retry;
     while (next == next_action::retry)
@@ -143,9 +209,6 @@
     {
         m_end_reason = "caller_left";
     }
-    m_caller->stop_watching();
-    log_end();
-    co_return !m_close_after && !m_caller->is_gone();
 }
 
 bool request_runner::resumes_stream() const
--- a/src/entry/request_runner.hpp
+++ b/src/entry/request_runner.hpp
@@ -58,6 +58,12 @@
         std::optional<duration> m_outdated_for; ///< of the weights when sent
     };
 
+    /** Handles the request up to its final answer. */
+    awaitable<void> handle();
+    /** Ends an attempt that was interrupted by an exception. */
+    void end_failed_attempt();
+    /** Answers after an exception. */
+    awaitable<void> answer_failure();
     std::optional<refusal> check();
     std::optional<refusal> check_key(time_point now);
     std::optional<refusal> check_quota(time_point now);
@@ -79,6 +85,8 @@
     void note_stream_begun(serving::upstream_record const& upstream);
     awaitable<std::optional<serving::placement>> wait_for_placement();
     awaitable<next_action> attempt(serving::placement const& place);
+    /** The current attempt is no longer in flight at its upstream. */
+    void end_count();
     awaitable<next_action> answer_whole(http_connection& upstream,
                                         answer_info const& info);
     awaitable<next_action>
@@ -134,6 +142,11 @@
     int m_unreachable = 0;
     std::shared_ptr<http_connection> m_upstream; ///< of the current attempt
     instance_id m_via; ///< peer whose tunnel the attempt uses; empty: none
+    /** Aborts the current attempt when the caller leaves. */
+    std::optional<caller_watch> m_caller_watch;
+    /** Upstream at which the current attempt is counted as in flight. */
+    std::optional<upstream_id> m_counted_at;
+    bool m_answer_begun = false; ///< the current attempt has bytes of an answer
     std::optional<silence_detector::watch>
         m_silence_watch; ///< of the current attempt
     serving::event_splitter m_splitter;
--- a/tests/entry/spoiled_event_test.cpp
+++ b/tests/entry/spoiled_event_test.cpp
@@ -95,3 +95,28 @@
               chunk(event_1) + chunk(event_2) + last_chunk);
     }
 }
+
+TEST_CASE("a request that ends by an exception gets an answer")
+{
+    // Guards against a caller that waits for an answer that never comes, and
+    // whose close is told to an object that is gone.
+    listed_upstream const upstream(
+        "u1",
+        [](served_connection& connection)
+        {
+            while (!connection.read_request().empty())
+            {
+                connection.write("HTTP/1.1 200 OK\r\nId: a1\r\nSeal: s\r\n"
+                                 "Content-Length: 2\r\n\r\nok");
+            }
+        });
+    running_instance instance(make_open_catalog(400ms), {upstream.m_record});
+    // More than the slots of the upstream, which must be free again.
+    for (int i = 0; i < 20; ++i)
+    {
+        std::string const answer =
+            instance.exchange(make_request("Throw: 1\r\n"), 300ms);
+        REQUIRE(answer.starts_with("HTTP/1.1 503"));
+    }
+    CHECK(instance.exchange(make_request()).starts_with("HTTP/1.1 200"));
+}
--- a/tests/entry/stand_in.cpp
+++ b/tests/entry/stand_in.cpp
@@ -276,6 +276,10 @@
 void set_upstream_fields(entry::request_header& header,
                          entry::upstream_call const& call)
 {
+    if (header.count("Throw") != 0)
+    {
+        throw error("the adapter fails");
+    }
     header.erase("Key");
     header.set("Upstream", call.m_upstream.value());
     if (!call.m_last_event.empty())
--- a/tests/entry/stand_in.hpp
+++ b/tests/entry/stand_in.hpp
@@ -135,8 +135,8 @@
 };
 
 /** One entry instance with a minimal adapter. Header fields: Id, Key, Parts,
- *  Model, Deadline-Ms, Last-Event-Id, Resumes, Seal, Not-Run, Leaving,
- *  Retry-After, Rate-Limit. */
+ *  Model, Tokens, Deadline-Ms, Last-Event-Id, Resumes, Seal, Not-Run, Leaving,
+ *  Retry-After, Rate-Limit; Throw makes the adapter fail. */
 class running_instance
 {
 public:
