Fix: [Entry] origins of streams were lost with the three peers that kept them

Cause: which version began a stream was told to three peers, whatever the size of the fleet. With one instance left of n, 3 / (n - 1) of the streams are known.

Change: beside the three peers, which learn of it at once, all instances learn of it with the next news (400 ms): the digest of the stream's id, 24 bytes each, and one entry for each process that began some of them. Relays pass them on. If a peer doesn't answer, they are queued for it again. As before, nothing is sent while a service has one version only.

Weighed: more keepers (bytes grow with the fleet squared for the same share, and a message for each); the version computed from the stream's id and those in service (no bytes, but a new stream may then begin at one version only, and builds beside each other would have to agree); a row in the store for each stream (far beyond the rate of calls).

--- a/include/daisylead/serving/fleet_news_type.hpp
+++ b/include/daisylead/serving/fleet_news_type.hpp
@@ -4,6 +4,7 @@
 #include <daisylead/request/part_quarantine_base.hpp>
 #include <daisylead/request/quarantine_base.hpp>
 #include <daisylead/serving/quota_limiter_base.hpp>
+#include <daisylead/serving/stream_registry_base.hpp>
 #include <daisylead/serving/upstream_pool_base.hpp>
 
 #include <cstdint>
@@ -167,6 +168,9 @@
     std::vector<request::blocked_part> m_blocked_parts;
     /** Since the last message. */
     std::vector<leaving_upstream> m_leaving_upstreams;
+    /** Streams that have begun at some instance, while the upstreams of their
+     *  service have several software versions; since the last message. */
+    std::vector<begun_stream> m_begun_streams;
     /** Changes when the KV cache store restarts. */
     std::int64_t m_kv_store_epoch = 0;
     /** Since the store last answered. */
--- a/include/daisylead/serving/fleet_roster_base.hpp
+++ b/include/daisylead/serving/fleet_roster_base.hpp
@@ -60,6 +60,8 @@
     std::vector<std::uint64_t> m_saved;
     /** Upstreams that announced that they leave. */
     std::vector<leaving_upstream> m_leaving;
+    /** Streams that have begun. */
+    std::vector<stream_digest> m_streams;
 };
 
 /** State of a peer. */
@@ -182,6 +184,10 @@
     void enqueue(news_outbox const& items, instance_id const& from,
                  time_point now);
 
+    /** Queues streams again that a peer was not told of, as the call failed. */
+    void requeue(instance_id const& id,
+                 std::vector<stream_digest> const& streams);
+
     /** @return peers whose sums no longer count, as they timed out or changed
      *          their role. */
     std::vector<instance_id> take_dropped(time_point now);
--- a/src/entry/fleet_exchange.cpp
+++ b/src/entry/fleet_exchange.cpp
@@ -51,8 +51,18 @@
     return state;
 }
 
-void add_items(serving::fleet_news& news, serving::news_outbox items)
+/** @param streams origins of the streams in @p items */
+void add_items(serving::fleet_news& news, serving::news_outbox items,
+               serving::stream_registry& streams)
 {
+    time_point const now = boot_time();
+    for (serving::stream_digest const stream : items.m_streams)
+    {
+        if (auto origin = streams.find(stream, now))
+        {
+            news.m_begun_streams.push_back({stream, std::move(*origin)});
+        }
+    }
     news.m_suspects = std::move(items.m_suspects);
     news.m_crashes = std::move(items.m_crashes);
     news.m_answered_parts = std::move(items.m_answered_parts);
@@ -216,7 +226,7 @@
     serving::fleet_news news = make_news(&peer);
     news.m_wants_members = !peer.m_knows_members;
     serving::news_outbox items = std::exchange(peer.m_outbox, {});
-    add_items(news, std::move(items));
+    add_items(news, std::move(items), m_state.m_streams);
     send(peer.m_member.m_address, std::move(news), id);
 }
 
@@ -245,14 +255,21 @@
 {
     time_point const sent_at = boot_time();
     auto const reported_use = m_state.from_totals(news.m_use);
+    std::vector<serving::stream_digest> streams;
+    for (serving::begun_stream const& stream : news.m_begun_streams)
+    {
+        streams.push_back(stream.m_stream);
+    }
     m_transport->send(
         address, {self().m_id, incarnation(self().m_started), std::move(news)},
         reply_timeout,
-        [this, to, sent_at, reported_use](std::optional<peer::message> reply)
+        [this, to, sent_at, reported_use,
+         streams = std::move(streams)](std::optional<peer::message> reply)
         {
             asio::post(
                 m_executor,
-                [this, to, sent_at, reported_use, reply = std::move(reply)]
+                [this, to, sent_at, reported_use, streams,
+                 reply = std::move(reply)]
                 {
                     auto const* const news =
                         reply ? std::get_if<serving::fleet_news>(&reply->m_body)
@@ -275,6 +292,7 @@
                     {
                         bool const was_relay = to == m_state.m_roster.relay();
                         m_state.m_roster.note_failed(to, boot_time());
+                        m_state.m_roster.requeue(to, streams);
                         if (was_relay)
                         {
                             telemetry::log(severity::warning, "relay_silent",
@@ -360,7 +378,13 @@
     serving::news_outbox items;
     items.m_suspects = news.m_suspects;
     items.m_saved = news.m_saved;
-    if (!items.m_suspects.empty() || !items.m_saved.empty())
+    for (serving::begun_stream const& stream : news.m_begun_streams)
+    {
+        m_state.m_streams.add(stream, now);
+        items.m_streams.push_back(stream.m_stream);
+    }
+    if (!items.m_suspects.empty() || !items.m_saved.empty() ||
+        !items.m_streams.empty())
     {
         m_state.m_roster.enqueue(items, news.m_member.m_id, now);
     }
@@ -499,7 +523,7 @@
     if (relation == peer_relation::child)
     {
         serving::news_outbox items = std::exchange(peer.m_outbox, {});
-        add_items(reply, std::move(items));
+        add_items(reply, std::move(items), m_state.m_streams);
         peer.m_urgent = false;
     }
     bool const relays_differ = relation == peer_relation::child &&
--- a/src/entry/stream_directory.cpp
+++ b/src/entry/stream_directory.cpp
@@ -88,7 +88,7 @@
         return;
     }
     m_uniform.erase(origin.m_service);
-    send_to_keepers({origin});
+    send_origins({origin});
 }
 
 void stream_directory::on_upstreams()
@@ -115,16 +115,18 @@
     }
     if (!unsent.empty())
     {
-        send_to_keepers(unsent);
+        send_origins(unsent);
     }
 }
 
-void stream_directory::send_to_keepers(
+void stream_directory::send_origins(
     std::vector<serving::stream_origin> const& origins)
 {
     std::map<std::string, peer::stream_records> messages; // by address
+    serving::news_outbox items;
     for (serving::stream_origin const& origin : origins)
     {
+        items.m_streams.push_back(serving::digest_of_stream(origin.m_stream));
         for (serving::member const& keeper : m_state.m_roster.record_keepers(
                  origin.m_stream, keepers, boot_time()))
         {
@@ -137,6 +139,9 @@
                                 records.m_origins.size());
         call_keeper(address, records, max_calls, [](auto const&) {});
     }
+    // All instances learn of them with the next news: any number of keepers may
+    // be lost at once.
+    m_state.m_roster.enqueue(items, {}, boot_time());
 }
 
 void stream_directory::call_keeper(std::string const& address,
--- a/src/entry/stream_directory.hpp
+++ b/src/entry/stream_directory.hpp
@@ -13,8 +13,8 @@
 
 /** Finds the process that began a stream. While all upstreams of a service
  *  have had the same software version, nothing is recorded or sent. Else this
- *  instance sends the origin of each stream to a few peers, so that it is
- *  known when this instance is gone. */
+ *  instance sends the origin of each stream to a few peers at once and to all
+ *  with the next news, so that any instance that is left knows it. */
 class stream_directory
 {
 public:
@@ -82,7 +82,7 @@
     awaitable<std::optional<serving::stream_origin>>
     ask_peers(std::string stream);
     void on_upstreams();
-    void send_to_keepers(std::vector<serving::stream_origin> const& origins);
+    void send_origins(std::vector<serving::stream_origin> const& origins);
     peer::message_body on_message(peer::message_body const& body);
 
     boost::asio::any_io_executor m_executor;
--- a/src/peer/codec.cpp
+++ b/src/peer/codec.cpp
@@ -9,6 +9,8 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <map>
+#include <tuple>
 #include <type_traits>
 
 namespace daisylead::peer
@@ -560,6 +562,10 @@
     item.setWeightsToken(body.m_weights_token);
     item.setWeightsNumber(body.m_weights_number);
     encode_weights(body.m_weights, item.initWeights(size_of(body.m_weights)));
+    if (!body.m_begun_streams.empty())
+    {
+        encode_streams(body.m_begun_streams, item);
+    }
     encode_suspects(body.m_suspects,
                     item.initSuspects(size_of(body.m_suspects)));
     encode_crash_evidence(body, item);
@@ -868,6 +874,31 @@
     return body;
 }
 
+std::vector<serving::begun_stream>
+decode_streams(wire::FleetNews::Reader source)
+{
+    auto const sources = source.getStreamSources();
+    std::vector<serving::begun_stream> streams;
+    for (auto const item : source.getBegunStreams())
+    {
+        if (item.getSource() >= sources.size())
+        {
+            throw error("a peer's stream has no source");
+        }
+        auto const process = sources[item.getSource()];
+        streams.push_back({serving::stream_digest(item.getStream()),
+                           {{},
+                            service_id(from_text(process.getService())),
+                            upstream_id(from_text(process.getUpstream())),
+                            process.getStarted(),
+                            software_version(from_text(process.getSoftware())),
+                            std::chrono::milliseconds(item.getLifetimeMs()),
+                            std::chrono::milliseconds(item.getAgeMs()),
+                            false}});
+    }
+    return streams;
+}
+
 serving::upstream_changes decode_changes(wire::UpstreamChanges::Reader source)
 {
     serving::upstream_changes changes;
@@ -926,6 +957,7 @@
               entry.getSwitching()},
              entry.getNumber()});
     }
+    body.m_begun_streams = decode_streams(item);
     body.m_suspects = decode_suspects(item.getSuspects());
     decode_crash_evidence(item, body);
     for (auto const entry : item.getLeavingUpstreams())
--- a/src/peer/peer.capnp
+++ b/src/peer/peer.capnp
@@ -143,6 +143,21 @@
   asked @1 :List(Text);
 }
 
+# A process that began streams.
+struct StreamSource {
+  service @0 :Text;
+  upstream @1 :Text;
+  started @2 :Int64;
+  software @3 :Text;
+}
+
+struct BegunStream {
+  stream @0 :UInt64;
+  source @1 :UInt16;
+  ageMs @2 :UInt32;
+  lifetimeMs @3 :UInt32;
+}
+
 struct SoftwareUse {
   service @0 :Text;
   software @1 :Text;
@@ -283,4 +298,6 @@
   knowsBlockedParts @31 :Bool;
   software @32 :SoftwareReport;
   cutServices @33 :List(Text);
+  streamSources @34 :List(StreamSource);
+  begunStreams @35 :List(BegunStream);
 }
--- a/src/serving/fleet_roster.cpp
+++ b/src/serving/fleet_roster.cpp
@@ -20,6 +20,9 @@
 /** Max. queued items of one kind per peer; the oldest are dropped. */
 constexpr std::size_t max_outbox_items = 256;
 
+/** The same for streams that have begun, of which there are more. */
+constexpr std::size_t max_outbox_streams = 1024;
+
 /** TTL of the fleet size reported by a relay. */
 constexpr duration reported_size_ttl = std::chrono::seconds(5);
 
@@ -40,13 +43,14 @@
 }
 
 template <class Item>
-void append_bounded(std::vector<Item>& list, std::vector<Item> const& items)
+void append_bounded(std::vector<Item>& list, std::vector<Item> const& items,
+                    std::size_t max_size = max_outbox_items)
 {
     list.insert(list.end(), items.begin(), items.end());
-    if (list.size() > max_outbox_items)
+    if (list.size() > max_size)
     {
         list.erase(list.begin(),
-                   list.end() - static_cast<std::ptrdiff_t>(max_outbox_items));
+                   list.end() - static_cast<std::ptrdiff_t>(max_size));
     }
 }
 
@@ -408,6 +412,8 @@
         append_bounded(peer->m_outbox.m_answered_parts, items.m_answered_parts);
         append_bounded(peer->m_outbox.m_saved, items.m_saved);
         append_bounded(peer->m_outbox.m_leaving, items.m_leaving);
+        append_bounded(peer->m_outbox.m_streams, items.m_streams,
+                       max_outbox_streams);
         peer->m_urgent = peer->m_urgent || urgent;
         if (is_mesh() && !items.m_saved.empty())
         {
@@ -417,6 +423,17 @@
     }
 }
 
+void fleet_roster::requeue(instance_id const& id,
+                           std::vector<stream_digest> const& streams)
+{
+    auto const peer = m_peers.find(id);
+    if (peer != m_peers.end())
+    {
+        append_bounded(peer->second.m_outbox.m_streams, streams,
+                       max_outbox_streams);
+    }
+}
+
 void fleet_roster::note_contact(fleet_news const& news, time_point now)
 {
     peer_state& peer = m_peers.at(news.m_member.m_id);
--- a/tests/entry/stream_software_test.cpp
+++ b/tests/entry/stream_software_test.cpp
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <functional>
 #include <random>
 #include <set>
 #include <sstream>
@@ -173,6 +174,25 @@
     return versions;
 }
 
+std::string id_of(int number)
+{
+    return "a" + std::to_string(number);
+}
+
+/** Calls @p run with the numbers below @p count, each on a thread. */
+void run_at_once(int count, std::function<void(int)> const& run)
+{
+    std::vector<std::thread> threads;
+    for (int i = 0; i < count; ++i)
+    {
+        threads.emplace_back(run, i);
+    }
+    for (std::thread& item : threads)
+    {
+        item.join();
+    }
+}
+
 bool is_whole(std::string const& answer)
 {
     return answer.ends_with("0\r\n\r\n");
@@ -411,6 +431,54 @@
     }
 }
 
+TEST_CASE("streams of killed instances go on at the only one that is left")
+{
+    // Guards against origins of streams that only a few instances know. Half
+    // of the resumed streams must go on if all new ones begin.
+    constexpr int size = 9;
+    constexpr int streams = 4; // of each instance
+    engine_list engines;
+    for (int i = 0; i < 6; ++i)
+    {
+        engines.push_back(std::make_unique<engine>(
+            "u" + std::to_string(i), i % 2 ? "v1" : "v2", i < 3 ? "a" : "b",
+            first_part::stays_open));
+    }
+    fleet instances(size, records_of(engines));
+    constexpr int count = (size - 1) * streams;
+    std::vector<std::string> firsts(count);
+    run_at_once(count,
+                [&](int i)
+                {
+                    firsts[i] = instances.at(2 + i % (size - 1))
+                                    .exchange(make_request(id_of(i)), 500ms);
+                });
+    // Until all instances have exchanged news.
+    std::this_thread::sleep_for(600ms);
+    for (int number = 2; number <= size; ++number)
+    {
+        instances.kill(number);
+    }
+    std::vector<std::string> rests(count);
+    run_at_once(count,
+                [&](int i)
+                {
+                    rests[i] = instances.at(1).exchange(
+                        resume_request("b" + id_of(i), id_of(i)), 500ms);
+                });
+    int went_on = 0;
+    for (int i = 0; i < count; ++i)
+    {
+        REQUIRE(versions_in(firsts[i]).size() == 1);
+        for (std::string const& version : versions_in(rests[i]))
+        {
+            CHECK(version == versions_in(firsts[i]).front());
+        }
+        went_on += is_whole(rests[i]) ? 1 : 0;
+    }
+    CHECK(went_on * 2 >= count);
+}
+
 TEST_CASE("streams of random rollouts, kills and late lists are never joined")
 {
     // At least half as large a share of resumed streams must go on as of new
