--- a/tests/process/child_process_base.hpp
+++ b/tests/process/child_process_base.hpp
@@ -27,6 +27,11 @@
     child_process(child_process const&) = delete;
     child_process& operator=(child_process const&) = delete;
 
+    pid_t id() const
+    {
+        return m_pid;
+    }
+
     /** Sends a signal; no effect after the process was waited for. */
     void signal(int number) const;
 
