Fix: [Platform] a port that is taken for a moment ended the process

Seen with real processes (FAULT): a port that the former process, or an outgoing connection of another one, holds for 0.5 s ends daisylead-entry with status 1, whichever of its five listeners it is.

Cause: a listener that cannot bind throws, and main() ends with it. The listener for tunnels was opened later, in run().

Change: such a failure is a listen_error. All listeners open when the instance is made.

--- a/include/daisylead/base/error_type.hpp
+++ b/include/daisylead/base/error_type.hpp
@@ -16,6 +16,13 @@
     using std::runtime_error::runtime_error;
 };
 
+/** An address cannot be listened on now; another process may use its port. */
+class listen_error : public error
+{
+public:
+    using error::error;
+};
+
 /** A problem found in a settings or configuration document. */
 struct finding
 {
--- a/src/entry/caller_server.cpp
+++ b/src/entry/caller_server.cpp
@@ -110,7 +110,8 @@
     }
     if (failure)
     {
-        throw error("cannot listen on " + address + ": " + failure.message());
+        throw listen_error("cannot listen on " + address + ": " +
+                           failure.message());
     }
     return acceptor;
 }
--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -83,6 +83,11 @@
                            [this](std::string const& path)
                            { return report(path); })
     {
+        if (!settings.m_tunnel_address.empty())
+        {
+            m_tunnel_server.emplace(context.get_executor(),
+                                    settings.m_tunnel_address, m_state);
+        }
         m_signals.add(SIGTERM);
         m_signals.add(SIGINT);
         m_signals.add(SIGHUP);
@@ -102,10 +107,8 @@
         m_readiness_server.start();
         m_metrics_server.start();
         m_caller_server.start();
-        if (!m_settings.m_tunnel_address.empty())
+        if (m_tunnel_server)
         {
-            m_tunnel_server.emplace(m_context.get_executor(),
-                                    m_settings.m_tunnel_address, m_state);
             m_tunnel_server->start();
         }
         auto const executor = m_context.get_executor();
--- a/src/peer/transport.cpp
+++ b/src/peer/transport.cpp
@@ -221,7 +221,7 @@
         if (!m_listening_reported)
         {
             m_listening.set_exception(std::make_exception_ptr(
-                error("cannot listen on " + m_address + ": " + text)));
+                listen_error("cannot listen on " + m_address + ": " + text)));
         }
     }
 
--- a/tests/process/entry_start_test.cpp
+++ b/tests/process/entry_start_test.cpp
@@ -2,8 +2,11 @@
 #include "child_process_base.hpp"
 #include "http_call_base.hpp"
 
+#include <asio.hpp>
 #include <catch2/catch.hpp>
 
+#include <fcntl.h>
+
 #include <csignal>
 #include <fstream>
 #include <memory>
@@ -117,3 +120,47 @@
     CHECK(entry.process().wait(10s) == 0);
     CHECK(entry.log().find("\"draining\"") != std::string::npos);
 }
+
+TEST_CASE("an instance waits for a port that is taken")
+{
+    // Guards against a process that ends because the former one, or a
+    // connection of another one, still has a port.
+    for (int number = 0; number < 5; ++number)
+    {
+        CAPTURE(number);
+        entry_process entry;
+        asio::io_context context;
+        std::string const address = entry.address(number);
+        auto const port = static_cast<asio::ip::port_type>(
+            std::stoi(address.substr(address.find(':') + 1)));
+        auto other = std::make_unique<asio::ip::tcp::acceptor>(
+            context,
+            asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), port));
+        // Else the process under test holds the port itself.
+        ::fcntl(other->native_handle(), F_SETFD, FD_CLOEXEC);
+        entry.start();
+        CHECK_FALSE(entry.process().wait(500ms));
+        CHECK(entry.log().find("listen_failed") != std::string::npos);
+        other.reset();
+        CHECK(eventually(10s, [&] { return entry.serves(); }));
+        CHECK_FALSE(entry.process().wait(0ms));
+    }
+}
+
+TEST_CASE("a stop signal ends an instance that waits for a port")
+{
+    entry_process entry;
+    asio::io_context context;
+    std::string const address = entry.address(0);
+    asio::ip::tcp::acceptor const other(
+        context,
+        asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"),
+                                static_cast<asio::ip::port_type>(std::stoi(
+                                    address.substr(address.find(':') + 1)))));
+    entry.start();
+    REQUIRE(eventually(
+        5s, [&]
+        { return entry.log().find("listen_failed") != std::string::npos; }));
+    entry.process().signal(SIGTERM);
+    CHECK(entry.process().wait(5s) == 0);
+}
