Fix: [Peer] the peer port stayed deaf after the process ran out of descriptors

Seen with real processes (64 descriptors, 100 connections held for 0.4 s): no later connection of a peer is accepted, the process lives and is ready as before, and nothing is logged.

Cause: TwoPartyServer::listen() ends with the first accept that fails, and the failure went to a sink. The reader of the wake-up pipe and the tasks that it runs had the same end: one exception, and no call is sent any more. An end of the thread was silent too.

Change: a loop of our own accepts again after 50 ms, as the servers for callers do; a failure is logged once for a series (peer_accept_failed). A task that fails ends alone (peer_task_failed); the end of the thread is logged (peer_transport_failed). Failed accepts of checks and tunnels are logged. Messages of peers are limited to 16 MB, where the library's default is 64.

Evidence: the new case of transport_test takes all descriptors while a connection waits.

--- a/src/entry/caller_server.cpp
+++ b/src/entry/caller_server.cpp
@@ -312,6 +312,8 @@
             asio::redirect_error(asio::use_awaitable, failure));
         if (failure)
         {
+            telemetry::log(severity::warning, "check_accept_failed",
+                           {{"error", failure.message()}});
             co_await pause(m_executor, accept_retry_delay);
             continue;
         }
--- a/src/entry/tunnel_server.cpp
+++ b/src/entry/tunnel_server.cpp
@@ -131,6 +131,8 @@
             asio::redirect_error(asio::use_awaitable, failure));
         if (failure)
         {
+            telemetry::log(severity::warning, "tunnel_accept_failed",
+                           {{"error", failure.message()}});
             co_await pause(m_executor, accept_retry_delay);
             continue;
         }
--- a/src/peer/transport.cpp
+++ b/src/peer/transport.cpp
@@ -4,9 +4,11 @@
 #include "codec.hpp"
 
 #include <daisylead/base/error_type.hpp>
+#include <daisylead/telemetry/log_func.hpp>
 
 #include <capnp/rpc-twoparty.h>
 #include <kj/async-io.h>
+#include <nlohmann/json.hpp>
 
 #include <fcntl.h>
 #include <future>
@@ -26,6 +28,26 @@
  *  silent peer cannot take all memory. */
 constexpr std::size_t max_open_calls = 512;
 
+/** Maximum size of a message of a peer; the largest ones hold a
+ *  configuration. */
+constexpr std::uint64_t max_message_words = (16 << 20) / sizeof(capnp::word);
+
+/** Delay before a connection is accepted again, or the thread's work goes on,
+ *  after an error, for example when no file descriptor is free. */
+constexpr std::chrono::milliseconds retry_delay{50};
+
+capnp::ReaderOptions reader_options()
+{
+    capnp::ReaderOptions options;
+    options.traversalLimitInWords = max_message_words;
+    return options;
+}
+
+void log_failure(char const* event, std::string const& text)
+{
+    telemetry::log(telemetry::severity::warning, event, {{"error", text}});
+}
+
 /** Work that another thread hands to the KJ thread. */
 using task = std::function<void()>;
 
@@ -124,8 +146,10 @@
 {
 public:
     explicit connection(kj::Own<kj::AsyncIoStream> stream)
-        : m_stream(kj::mv(stream)), m_client(*m_stream),
-          m_peer(m_client.bootstrap().castAs<wire::Peer>())
+        : m_stream(kj::mv(stream)),
+          m_network(*m_stream, capnp::rpc::twoparty::Side::CLIENT,
+                    reader_options()),
+          m_rpc(capnp::makeRpcClient(m_network)), m_peer(bootstrap())
     {
     }
 
@@ -135,11 +159,44 @@
     }
 
 private:
+    wire::Peer::Client bootstrap()
+    {
+        capnp::MallocMessageBuilder message;
+        auto id = message.initRoot<capnp::rpc::twoparty::VatId>();
+        id.setSide(capnp::rpc::twoparty::Side::SERVER);
+        return m_rpc.bootstrap(id).castAs<wire::Peer>();
+    }
+
     kj::Own<kj::AsyncIoStream> m_stream;
-    capnp::TwoPartyClient m_client;
+    capnp::TwoPartyVatNetwork m_network;
+    capnp::RpcSystem<capnp::rpc::twoparty::VatId> m_rpc;
     wire::Peer::Client m_peer;
 };
 
+/** A connection that a peer has made. */
+class accepted_connection
+{
+public:
+    accepted_connection(kj::Own<kj::AsyncIoStream> stream,
+                        wire::Peer::Client server)
+        : m_stream(kj::mv(stream)),
+          m_network(*m_stream, capnp::rpc::twoparty::Side::SERVER,
+                    reader_options()),
+          m_rpc(capnp::makeRpcServer(m_network, kj::mv(server)))
+    {
+    }
+
+    kj::Promise<void> wait_for_end()
+    {
+        return m_network.onDisconnect();
+    }
+
+private:
+    kj::Own<kj::AsyncIoStream> m_stream;
+    capnp::TwoPartyVatNetwork m_network;
+    capnp::RpcSystem<capnp::rpc::twoparty::VatId> m_rpc;
+};
+
 struct peer_state
 {
     std::shared_ptr<connection> m_connection;
@@ -218,11 +275,13 @@
 
     void report_failure(std::string const& text)
     {
-        if (!m_listening_reported)
+        if (m_listening_reported)
         {
-            m_listening.set_exception(std::make_exception_ptr(
-                listen_error("cannot listen on " + m_address + ": " + text)));
+            log_failure("peer_transport_failed", text);
+            return;
         }
+        m_listening.set_exception(std::make_exception_ptr(
+            listen_error("cannot listen on " + m_address + ": " + text)));
     }
 
     void serve(kj::AsyncIoContext& io)
@@ -231,8 +290,7 @@
                            .parseAddress(m_address.c_str())
                            .wait(io.waitScope);
         kj::Own<kj::ConnectionReceiver> receiver = address->listen();
-        capnp::TwoPartyServer server(
-            kj::heap<peer_server>(m_on_message, m_queue));
+        wire::Peer::Client server(kj::heap<peer_server>(m_on_message, m_queue));
         failure_sink failures;
         kj::TaskSet tasks(failures);
         m_tasks = &tasks;
@@ -240,7 +298,7 @@
         m_stop = kj::mv(stop_pair.fulfiller);
         auto wake = io.lowLevelProvider->wrapInputFd(
             m_queue->read_end(), kj::LowLevelAsyncIoProvider::ALREADY_NONBLOCK);
-        tasks.add(server.listen(*receiver));
+        tasks.add(accept_peers(*receiver, server));
         tasks.add(run_tasks(*wake));
         m_listening_reported = true;
         m_listening.set_value();
@@ -249,20 +307,85 @@
         m_tasks = nullptr;
     }
 
+    kj::Promise<void> pause()
+    {
+        return m_io->provider->getTimer().afterDelay(retry_delay.count() *
+                                                     kj::MILLISECONDS);
+    }
+
+    kj::Promise<void> accept_peers(kj::ConnectionReceiver& receiver,
+                                   wire::Peer::Client& server)
+    {
+        // It throws at once, instead of by its promise, if a connection waits.
+        return kj::evalNow([&receiver] { return receiver.accept(); })
+            .then(
+                [this, &receiver, &server](
+                    kj::Own<kj::AsyncIoStream> stream) -> kj::Promise<void>
+                {
+                    m_accept_failed = false;
+                    auto accepted =
+                        kj::heap<accepted_connection>(kj::mv(stream), server);
+                    auto ended = accepted->wait_for_end();
+                    m_tasks->add(ended.attach(kj::mv(accepted)));
+                    return accept_peers(receiver, server);
+                },
+                [this, &receiver,
+                 &server](kj::Exception&& failure) -> kj::Promise<void>
+                {
+                    // Once for a series of failures.
+                    if (!std::exchange(m_accept_failed, true))
+                    {
+                        log_failure("peer_accept_failed",
+                                    failure.getDescription().cStr());
+                    }
+                    return pause().then(
+                        [this, &receiver, &server]
+                        { return accept_peers(receiver, server); });
+                });
+    }
+
     kj::Promise<void> run_tasks(kj::AsyncInputStream& wake)
     {
-        return wake.tryRead(m_wake_buffer, 1, sizeof m_wake_buffer)
+        return kj::evalNow(
+                   [this, &wake] {
+                       return wake.tryRead(m_wake_buffer, 1,
+                                           sizeof m_wake_buffer);
+                   })
             .then(
                 [this, &wake](std::size_t) -> kj::Promise<void>
                 {
                     for (task& item : m_queue->take())
                     {
-                        item();
+                        run_task(item);
                     }
                     return run_tasks(wake);
+                },
+                [this, &wake](kj::Exception&& failure) -> kj::Promise<void>
+                {
+                    log_failure("peer_task_failed",
+                                failure.getDescription().cStr());
+                    return pause().then([this, &wake]
+                                        { return run_tasks(wake); });
                 });
     }
 
+    /** Runs a task; its failure must not end the tasks after it. */
+    static void run_task(task const& item)
+    {
+        try
+        {
+            item();
+        }
+        catch (kj::Exception const& failure)
+        {
+            log_failure("peer_task_failed", failure.getDescription().cStr());
+        }
+        catch (std::exception const& failure)
+        {
+            log_failure("peer_task_failed", failure.what());
+        }
+    }
+
     kj::Promise<std::shared_ptr<connection>> connect(std::string const& address)
     {
         peer_state& state = m_peers[address];
@@ -339,6 +462,7 @@
     kj::TaskSet* m_tasks = nullptr;
     kj::Own<kj::PromiseFulfiller<void>> m_stop;
     std::unordered_map<std::string, peer_state> m_peers;
+    bool m_accept_failed = false; ///< the last accept failed
     char m_wake_buffer[256] = {};
 };
 
--- a/tests/peer/transport_test.cpp
+++ b/tests/peer/transport_test.cpp
@@ -6,7 +6,14 @@
 #include <capnp/message.h>
 #include <catch2/catch.hpp>
 
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <future>
+#include <thread>
 
 using namespace daisylead;
 using namespace std::chrono_literals;
@@ -195,6 +202,45 @@
     CHECK(call(*sender, "127.0.0.1:7393", make_reserve(), 2s));
 }
 
+TEST_CASE("a peer accepts connections again after it ran out of descriptors")
+{
+    // Guards against a port of which the process lives on but that nobody
+    // reaches any more.
+    auto const receiver = peer::make_transport(
+        "127.0.0.1:7396", [](peer::message request,
+                             std::function<void(peer::message)> const& reply)
+        { reply(std::move(request)); });
+    auto const sender = peer::make_transport(
+        "127.0.0.1:7397",
+        [](peer::message const&, std::function<void(peer::message)> const&) {});
+    int const caller = ::socket(AF_INET, SOCK_STREAM, 0);
+    rlimit limit{};
+    ::getrlimit(RLIMIT_NOFILE, &limit);
+    int const next = ::dup(caller);
+    ::close(next);
+    rlimit const low{static_cast<rlim_t>(next) + 8, limit.rlim_max};
+    ::setrlimit(RLIMIT_NOFILE, &low);
+    std::vector<int> taken;
+    for (int copy = ::dup(caller); copy >= 0; copy = ::dup(caller))
+    {
+        taken.push_back(copy);
+    }
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(7396);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    CHECK(::connect(caller, reinterpret_cast<sockaddr const*>(&address),
+                    sizeof address) == 0);
+    std::this_thread::sleep_for(200ms);
+    for (int const copy : taken)
+    {
+        ::close(copy);
+    }
+    ::close(caller);
+    ::setrlimit(RLIMIT_NOFILE, &limit);
+    CHECK(call(*sender, "127.0.0.1:7396", make_reserve(), 2s));
+}
+
 TEST_CASE("a peer that is not running gives no reply")
 {
     auto const sender = peer::make_transport(
