Fix: [Entry] a process that started after a drill of the store took the order lease

The store had come back from an older copy, whose row of the lease named nobody or a former holder; an instance that started then took the lease while the holder lived and sent orders.

Cause: only a process that saw the era of the store change knows that its rows may be old. One that starts took the first era that it read for granted.

Change: each instance knows since when the store has been in its era, at first since its start, and tells its peers (two fields that may be missing). A missing row is taken as before, so that a first start doesn't wait.

--- a/include/daisylead/serving/fleet_news_type.hpp
+++ b/include/daisylead/serving/fleet_news_type.hpp
@@ -140,6 +140,9 @@
     std::vector<service_id> m_cut_services;
     /** Digest of the live relays, as known to the sender. */
     std::uint64_t m_relays_digest = 0;
+    std::uint64_t m_store_era = 0; ///< era of the store, as known to the sender
+    /** Since when the sender knows that the store is in that era. */
+    std::optional<std::int64_t> m_store_era_age_ms;
     document_state m_rules;     ///< configuration
     document_state m_upstreams; ///< service discovery
     /** Use by the group; in a reply of a relay to a child: use by all other
--- a/include/daisylead/serving/order_lease_base.hpp
+++ b/include/daisylead/serving/order_lease_base.hpp
@@ -53,6 +53,14 @@
      *  @param noted_at when this instance learnt of it */
     void note_store_restored(time_point noted_at);
 
+    /** The store is known not to have come back from an older copy since then.
+     *  Before, its row may have lost the writes of a holder that still sends
+     *  orders. A row that this process wrote shows that it has not. */
+    void note_store_known_since(time_point since)
+    {
+        m_store_known_since = since;
+    }
+
     /** @return whether the row should be read now. */
     bool wants_read(time_point now) const;
 
@@ -89,7 +97,9 @@
     time_point m_changed_at;
     std::optional<std::uint64_t> m_token;
     time_point m_held_until;
+    bool m_row_is_own = false;               ///< this process wrote m_row
     std::optional<time_point> m_restored_at; ///< of the store
+    std::optional<time_point> m_store_known_since;
 };
 
 } // namespace daisylead::serving
--- a/src/entry/fleet_exchange.cpp
+++ b/src/entry/fleet_exchange.cpp
@@ -136,6 +136,10 @@
     news.m_fleet = m_state.m_roster.fleet_size(now);
     news.m_relays_digest = m_state.m_roster.relays_digest(now);
     news.m_cut_services = m_state.cut_services();
+    news.m_store_era = m_state.m_store_era;
+    news.m_store_era_age_ms = std::chrono::floor<std::chrono::milliseconds>(
+                                  now - m_state.m_store_era_since)
+                                  .count();
     news.m_rules = make_document_state(m_state.m_rules.m_revision,
                                        m_state.m_rules.m_content_order,
                                        m_state.m_rules_freshness.age(now));
@@ -363,6 +367,7 @@
     {
         m_state.note_member(member, false);
     }
+    m_state.apply_store_era(news);
     apply_usage_and_load(news, relation, now);
     m_state.apply_rates(news.m_load, news.m_member.m_id,
                         relation == peer_relation::parent, sent_at);
--- a/src/entry/fleet_state.cpp
+++ b/src/entry/fleet_state.cpp
@@ -147,7 +147,8 @@
                  settings.m_retry_window}),
       m_quarantine({quarantine_period}), m_part_quarantine({}),
       m_roster({}, self_as_member(settings, started), boot_time()),
-      m_executor(executor), m_started(boot_time()), m_saved(max_saved_prefixes)
+      m_store_era_since(boot_time()), m_executor(executor),
+      m_started(boot_time()), m_saved(max_saved_prefixes)
 {
 }
 
@@ -161,6 +162,7 @@
     telemetry::log(restored ? severity::warning : severity::info, "store_era",
                    {{"era", era}, {"before", m_store_era}, {"source", source}});
     m_store_era = era;
+    m_store_era_since = boot_time();
     if (restored)
     {
         m_metrics.count("daisylead_store_restores_total");
@@ -950,6 +952,18 @@
     m_software.merge(report);
 }
 
+void fleet_state::apply_store_era(serving::fleet_news const& news)
+{
+    if (news.m_store_era == m_store_era && news.m_store_era_age_ms)
+    {
+        // The age counts from the sending of the news: this is later than the
+        // truth.
+        m_store_era_since = std::min(
+            m_store_era_since,
+            boot_time() - std::chrono::milliseconds(*news.m_store_era_age_ms));
+    }
+}
+
 void fleet_state::note_kv_store(std::int64_t epoch, time_point answered_at)
 {
     if (m_kv_store_answered_at && answered_at <= *m_kv_store_answered_at)
--- a/src/entry/fleet_state.hpp
+++ b/src/entry/fleet_state.hpp
@@ -183,6 +183,9 @@
     void apply_software_news(serving::software_news const& news,
                              time_point sent_at);
 
+    /** Applies what a peer knows of the era of the store. */
+    void apply_store_era(serving::fleet_news const& news);
+
     /** The KV cache store answered at @p answered_at. */
     void note_kv_store(std::int64_t epoch, time_point answered_at);
 
@@ -226,6 +229,8 @@
     std::uint64_t m_weights_number = 0; ///< newest news of that holder
     std::optional<time_point> m_last_weights_news_at; ///< of another holder
     std::uint64_t m_store_era = 0; ///< newest known era of the store
+    /** Since when the store is known to be in that era. */
+    time_point m_store_era_since;
     /** When this instance learnt that the store came back from a copy. */
     std::optional<time_point> m_store_restored_at;
     std::int64_t m_kv_store_epoch = 0;
--- a/src/entry/rollout_controller.cpp
+++ b/src/entry/rollout_controller.cpp
@@ -208,6 +208,7 @@
     {
         m_lease.note_store_restored(*m_state.m_store_restored_at);
     }
+    m_lease.note_store_known_since(m_state.m_store_era_since);
     if (m_lease.wants_read(boot_time()))
     {
         std::optional<serving::lease_row_state> const row =
--- a/src/peer/codec.cpp
+++ b/src/peer/codec.cpp
@@ -551,6 +551,8 @@
     item.setGroup(static_cast<std::int32_t>(body.m_group));
     item.setFleet(static_cast<std::int32_t>(body.m_fleet));
     item.setRelaysDigest(body.m_relays_digest);
+    item.setStoreEra(body.m_store_era);
+    item.setStoreEraAgeMs(body.m_store_era_age_ms.value_or(-1));
     encode_document_state(body.m_rules, item.initRules());
     encode_document_state(body.m_upstreams, item.initUpstreams());
     encode_use(body.m_use, item.initUse());
@@ -939,6 +941,11 @@
     body.m_group = item.getGroup();
     body.m_fleet = item.getFleet();
     body.m_relays_digest = item.getRelaysDigest();
+    body.m_store_era = item.getStoreEra();
+    if (item.getStoreEraAgeMs() >= 0)
+    {
+        body.m_store_era_age_ms = item.getStoreEraAgeMs();
+    }
     body.m_rules = decode_document_state(item.getRules());
     body.m_upstreams = decode_document_state(item.getUpstreams());
     body.m_use = decode_use(item.getUse());
--- a/src/peer/peer.capnp
+++ b/src/peer/peer.capnp
@@ -300,4 +300,6 @@
   cutServices @33 :List(Text);
   streamSources @34 :List(StreamSource);
   begunStreams @35 :List(BegunStream);
+  storeEra @36 :UInt64;
+  storeEraAgeMs @37 :Int64 = -1;
 }
--- a/src/serving/order_lease.cpp
+++ b/src/serving/order_lease.cpp
@@ -20,6 +20,7 @@
         m_row = row;
         m_changed_at = read_at;
         m_token.reset();
+        m_row_is_own = false;
     }
     m_changed_at = std::min(m_changed_at, read_at - row.m_age);
     m_known = true;
@@ -55,6 +56,13 @@
     {
         return std::nullopt;
     }
+    // Another process may hold the lease by a row that the store has lost.
+    if (m_row.m_version != 0 && !m_row_is_own && m_store_known_since &&
+        now - *m_store_known_since <
+            m_options.m_duration + m_options.m_handover)
+    {
+        return std::nullopt;
+    }
     duration const wait =
         m_row.m_holder.empty()
             ? std::max(duration::zero(), m_options.m_handover - m_row.m_quiet)
@@ -71,6 +79,7 @@
         m_token = version;
     }
     m_row = {version, m_self};
+    m_row_is_own = true;
     m_changed_at = sent_at;
     m_known = true;
     m_held_until = sent_at + m_options.m_duration;
--- a/tests/serving/freshness_test.cpp
+++ b/tests/serving/freshness_test.cpp
@@ -72,6 +72,31 @@
 
 } // namespace
 
+TEST_CASE("a process that starts does not trust the lease row of an old copy")
+{
+    // Guards against two holders: the store came back from a copy before this
+    // process started, and the holder that it no longer names lives.
+    order_lease lease(instance_id("b"), lease_options());
+    lease.note_store_known_since(start);
+    lease.note_row({7, instance_id("a"), 60s, 0s}, start);
+    CHECK_FALSE(lease.write_due(start + 4s));
+    CHECK(lease.write_due(start + 5s) == 7);
+    // A peer knows that no copy was restored for longer than a holder's orders
+    // can come.
+    lease.note_store_known_since(start - 60s);
+    CHECK(lease.write_due(start) == 7);
+    // Not even the last holder by name: the row may be older than it.
+    order_lease restarted(instance_id("a"), lease_options());
+    restarted.note_store_known_since(start);
+    restarted.note_row({7, instance_id("a"), 60s, 0s}, start);
+    CHECK_FALSE(restarted.write_due(start + 4s));
+    // Its own row shows that the store has lost nothing since.
+    restarted.note_written(8, start + 5s);
+    restarted.note_row({8, instance_id("a"), 0s, 0s}, start + 8s);
+    restarted.note_store_known_since(start + 7s);
+    CHECK(restarted.write_due(start + 8s) == 8);
+}
+
 TEST_CASE("a free lease is acquired, and its token expires before the lease")
 {
     order_lease lease = make_lease("a");
