Fix: [Routing] a request of 2^53 tokens ended the process

Change: the first candidate is always taken; the overload of a memory is weighed up to a thousand times its size; tokens that a request or a part of its prompt states are counted up to 2^30, before anything is added up.

Evidence: the new case of upstream_pool_test.

--- a/src/entry/request_runner.cpp
+++ b/src/entry/request_runner.cpp
@@ -30,6 +30,10 @@
  *  crashes, so that one request cannot fill the table of suspects. */
 constexpr std::size_t max_tracked_parts = 64;
 
+/** Maximum number of tokens of a request or a prompt part that is counted; more
+ *  than any upstream can hold. */
+constexpr std::int64_t max_counted_tokens = 1 << 30;
+
 /** Timeout of a request if neither its route nor its caller sets one. */
 constexpr std::chrono::milliseconds default_request_timeout = 30s;
 
@@ -73,6 +77,12 @@
  *  instance will soon have. */
 constexpr duration stale_config_retry_delay = 300ms;
 
+token_count counted(token_count stated)
+{
+    return token_count(
+        std::clamp<std::int64_t>(stated.value(), 0, max_counted_tokens));
+}
+
 } // namespace
 
 request_runner::request_runner(fleet_state& state,
@@ -159,6 +169,14 @@
 awaitable<void> request_runner::handle()
 {
     m_description = m_state.m_adapter.m_describe(m_request.base());
+    if (m_description.m_tokens)
+    {
+        m_description.m_tokens = counted(*m_description.m_tokens);
+    }
+    for (serving::prompt_part& part : m_description.m_parts)
+    {
+        part.m_tokens = counted(part.m_tokens);
+    }
     m_close_after = m_state.m_draining || !m_request.keep_alive();
     m_refusal = check();
     if (!m_refusal && resumes_stream())
--- a/src/serving/upstream_pool.cpp
+++ b/src/serving/upstream_pool.cpp
@@ -16,6 +16,10 @@
  *  the time for which old weights may be used. */
 constexpr std::size_t max_named_versions = 16;
 
+/** Largest overload of an engine's memory that is weighed; beyond it all
+ *  engines are equally bad. */
+constexpr double max_overload = 1000;
+
 /** Smallest request rate, per second, from which a wait is derived. */
 constexpr double min_waited_rate = 0.1;
 
@@ -337,8 +341,9 @@
         m_options.m_waiting_cost *
         std::max<std::int64_t>(0, item.requests() + 1 - item.m_record.m_slots);
     total += std::chrono::duration_cast<duration>(
-        std::max(0.0, memory_use(item, request.m_capacity, request.m_tokens) -
-                          m_options.m_usable_memory_fraction) *
+        std::clamp(memory_use(item, request.m_capacity, request.m_tokens) -
+                       m_options.m_usable_memory_fraction,
+                   0.0, max_overload) *
         std::chrono::duration<double>(m_options.m_memory_cost));
     if (item.m_record.m_zone != request.m_zone)
     {
@@ -463,7 +468,7 @@
         duration const estimate = m_rates.wants_answer(item->m_record.m_id, now)
                                       ? duration::zero()
                                       : cost(*item, request, rank, now);
-        if (estimate < min_cost)
+        if (chosen == nullptr || estimate < min_cost)
         {
             min_cost = estimate;
             chosen = item;
--- a/tests/entry/stand_in.cpp
+++ b/tests/entry/stand_in.cpp
@@ -259,6 +259,10 @@
     request.m_model = model_id(value_of(header, "Model"));
     request.m_last_event = value_of(header, "Last-Event-Id");
     request.m_resumes = value_of(header, "Resumes");
+    if (std::string const tokens = value_of(header, "Tokens"); !tokens.empty())
+    {
+        request.m_tokens = token_count(std::stoll(tokens));
+    }
     std::istringstream parts(value_of(header, "Parts"));
     for (std::string part; std::getline(parts, part, ',');)
     {
--- a/tests/serving/upstream_pool_test.cpp
+++ b/tests/serving/upstream_pool_test.cpp
@@ -62,6 +62,20 @@
 
 } // namespace
 
+TEST_CASE("a request that no engine can hold is placed or refused")
+{
+    // Guards against an estimate that is beyond all others, so that no engine
+    // was chosen though there were candidates.
+    upstream_pool pool = make_pool();
+    pool.take_list(make_engines(2), start);
+    placement_request request = make_request();
+    request.m_capacity = token_count(1000);
+    request.m_tokens = token_count(std::int64_t{1} << 53);
+    placement const place = pool.place(request, start);
+    CHECK(place.m_reason == no_placement::none);
+    CHECK_FALSE(place.m_upstream.m_id.empty());
+}
+
 TEST_CASE("a leaving upstream receives no new requests")
 {
     upstream_pool pool = make_pool();
