Test: [Entry] an instance that stood still or was cut off joins no stream

From a report of another operator: during a release one machine was out of step while servers of a new version joined; streams that they began were taken up there and went on at the old version. An instance that stood still for 2.5 s doesn't rely on one version before its list was complete for long enough; one that its peers don't reach refuses.

--- a/tests/entry/stand_in.cpp
+++ b/tests/entry/stand_in.cpp
@@ -479,7 +479,9 @@
     {
         std::lock_guard const lock(m_network.m_mutex);
         auto const receiver = m_network.m_hooks.find(address);
-        if (receiver == m_network.m_hooks.end())
+        if (receiver == m_network.m_hooks.end() ||
+            m_network.m_cut_off.contains(address) ||
+            m_network.m_cut_off.contains(m_address))
         {
             on_reply(std::nullopt);
             return;
@@ -516,6 +518,12 @@
     };
 }
 
+void peer_network::cut_off(int number)
+{
+    std::lock_guard const lock(m_mutex);
+    m_cut_off.insert(peer_address(number));
+}
+
 running_instance::running_instance(
     serving::catalog catalog, std::vector<serving::upstream_record> upstreams,
     engine_control engines)
@@ -656,6 +664,11 @@
     return read_until_idle(descriptor, 1000ms);
 }
 
+void running_instance::freeze(std::chrono::milliseconds time)
+{
+    boost::asio::post(m_context, [time] { std::this_thread::sleep_for(time); });
+}
+
 std::string running_instance::ask_for_tunnel(std::string const& upstream)
 {
     int const descriptor = connect_to(m_settings.m_tunnel_address);
--- a/tests/entry/stand_in.hpp
+++ b/tests/entry/stand_in.hpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -97,11 +98,15 @@
     /** @return a factory for the transport of one instance. */
     peer::transport_factory factory();
 
+    /** Loses all messages from and to an instance from now on. */
+    void cut_off(int number);
+
 private:
     friend class network_transport;
 
     std::mutex m_mutex;
     std::map<std::string, peer::message_hook> m_hooks; ///< by address
+    std::set<std::string> m_cut_off;                   ///< addresses
 };
 
 /** Blocked prompt parts in the store of a test. */
@@ -181,6 +186,9 @@
     /** The store holds another configuration from now on. */
     void set_rules(std::uint64_t revision, serving::catalog catalog);
 
+    /** Keeps the thread of the instance busy, as if its machine stood still. */
+    void freeze(std::chrono::milliseconds time);
+
     /** Time between a stop signal and the end of the process. */
     void set_grace(std::chrono::milliseconds grace)
     {
@@ -205,6 +213,12 @@
         m_store_failed = true;
     }
 
+    /** The store answers again. */
+    void restore_store()
+    {
+        m_store_failed = false;
+    }
+
 private:
     entry::adapter make_adapter();
     void start(peer::transport_factory const& make_transport);
--- a/tests/entry/stream_software_test.cpp
+++ b/tests/entry/stream_software_test.cpp
@@ -229,6 +229,12 @@
         m_instances[static_cast<std::size_t>(number - 1)].reset();
     }
 
+    /** The instance exchanges no messages with the others any more. */
+    void cut_off(int number)
+    {
+        m_network.cut_off(number);
+    }
+
     void start(int number)
     {
         m_instances[static_cast<std::size_t>(number - 1)] =
@@ -479,6 +485,42 @@
     CHECK(went_on * 2 >= count);
 }
 
+TEST_CASE("an instance that stood still or was cut off joins no stream")
+{
+    // Guards against the old list of such an instance: servers of a new
+    // version joined and began streams that it is asked to resume.
+    bool const cut_off = GENERATE(false, true);
+    CAPTURE(cut_off);
+    engine_list engines;
+    engines.push_back(
+        std::make_unique<engine>("u1", "v1", "b", first_part::is_whole));
+    engines.push_back(
+        std::make_unique<engine>("u2", "v2", "a", first_part::breaks_late));
+    fleet instances(3, {engines[0]->record()});
+    if (cut_off)
+    {
+        instances.cut_off(3);
+    }
+    else
+    {
+        instances.at(3).freeze(2500ms);
+    }
+    instances.list(records_of(engines));
+    std::this_thread::sleep_for(900ms);
+    // The instances prefer upstreams of their own zone.
+    std::string const first =
+        instances.at(1).exchange(make_request("a1"), 400ms);
+    REQUIRE(versions_in(first) == std::vector<std::string>{"v2"});
+    instances.list({engines[0]->record()});
+    std::string const rest =
+        instances.at(3).exchange(resume_request("a2", "a1"), 3000ms);
+    for (std::string const& version : versions_in(rest))
+    {
+        CHECK(version == "v2");
+    }
+    CHECK(is_whole(instances.at(3).exchange(make_request("a3"))));
+}
+
 TEST_CASE("streams of random rollouts, kills and late lists are never joined")
 {
     // At least half as large a share of resumed streams must go on as of new
