Fix: [Entry] a missing lease row, and the first answer after a restore, gave the order lease away

Cause: a missing row says as little as an old one. The era in the answer with the row was not looked at.

Change: the wait holds for a missing row too; only a store that has never stated an era above 0 is exempt. The era in the answer with the lease row is noted before the row is used.

Evidence: the case of freshness_test has the missing row.

--- a/include/daisylead/serving/order_lease_base.hpp
+++ b/include/daisylead/serving/order_lease_base.hpp
@@ -33,6 +33,7 @@
     duration m_age{};
     /** For a released row: time between the last order and the release. */
     duration m_quiet{};
+    std::uint64_t m_era = 0; ///< era of the store in the answer with the row
 };
 
 /** Lease on a row of the store that is written conditionally on its version.
--- a/src/entry/fleet_exchange.cpp
+++ b/src/entry/fleet_exchange.cpp
@@ -260,6 +260,7 @@
     time_point const sent_at = boot_time();
     auto const reported_use = m_state.from_totals(news.m_use);
     std::vector<serving::stream_digest> streams;
+    streams.reserve(news.m_begun_streams.size());
     for (serving::begun_stream const& stream : news.m_begun_streams)
     {
         streams.push_back(stream.m_stream);
@@ -383,6 +384,7 @@
     serving::news_outbox items;
     items.m_suspects = news.m_suspects;
     items.m_saved = news.m_saved;
+    items.m_streams.reserve(news.m_begun_streams.size());
     for (serving::begun_stream const& stream : news.m_begun_streams)
     {
         m_state.m_streams.add(stream, now);
--- a/src/entry/fleet_state.hpp
+++ b/src/entry/fleet_state.hpp
@@ -183,6 +183,10 @@
     void apply_software_news(serving::software_news const& news,
                              time_point sent_at);
 
+    /** Records the era of the store in one of its answers.
+     *  @param source what was read, or the peer, for the log */
+    void note_store_era(std::uint64_t era, std::string const& source);
+
     /** Applies what a peer knows of the era of the store. */
     void apply_store_era(serving::fleet_news const& news);
 
@@ -260,7 +264,6 @@
                       time_point now) const;
     void keep_newer_weights(serving::catalog& catalog) const;
     void note_software(time_point read_at, std::string const& source);
-    void note_store_era(std::uint64_t era, std::string const& source);
     void send_to_peers(serving::news_outbox const& items,
                        instance_id const& from);
     /** Logs which prompt parts were blocked or unblocked since the last call,
--- a/src/entry/rollout_controller.cpp
+++ b/src/entry/rollout_controller.cpp
@@ -202,13 +202,22 @@
     }
 }
 
-awaitable<bool> rollout_controller::acquire_or_renew_lease()
+void rollout_controller::apply_store_era()
 {
     if (m_state.m_store_restored_at)
     {
         m_lease.note_store_restored(*m_state.m_store_restored_at);
     }
-    m_lease.note_store_known_since(m_state.m_store_era_since);
+    // A store without eras is never restored.
+    if (m_state.m_store_era != 0)
+    {
+        m_lease.note_store_known_since(m_state.m_store_era_since);
+    }
+}
+
+awaitable<bool> rollout_controller::acquire_or_renew_lease()
+{
+    apply_store_era();
     if (m_lease.wants_read(boot_time()))
     {
         std::optional<serving::lease_row_state> const row =
@@ -217,6 +226,9 @@
         {
             co_return false;
         }
+        // This answer may be the first one since the store was restored.
+        m_state.note_store_era(row->m_era, "lease");
+        apply_store_era();
         m_lease.note_row(*row, boot_time());
     }
     auto const version = m_lease.write_due(boot_time());
--- a/src/entry/rollout_controller.hpp
+++ b/src/entry/rollout_controller.hpp
@@ -25,6 +25,8 @@
 
 private:
     awaitable<void> loop();
+    /** Tells the lease what is known of restores of the store. */
+    void apply_store_era();
     awaitable<bool> acquire_or_renew_lease();
     /** A step of the rollout for one engine. */
     struct engine_task
--- a/src/entry/stream_directory.cpp
+++ b/src/entry/stream_directory.cpp
@@ -124,6 +124,7 @@
 {
     std::map<std::string, peer::stream_records> messages; // by address
     serving::news_outbox items;
+    items.m_streams.reserve(origins.size());
     for (serving::stream_origin const& origin : origins)
     {
         items.m_streams.push_back(serving::digest_of_stream(origin.m_stream));
--- a/src/peer/codec.cpp
+++ b/src/peer/codec.cpp
@@ -512,6 +512,7 @@
         std::tuple<service_id, upstream_id, std::int64_t, software_version>;
     std::map<source, std::uint16_t> positions;
     std::vector<std::uint16_t> source_of;
+    source_of.reserve(streams.size());
     for (serving::begun_stream const& stream : streams)
     {
         serving::stream_origin const& origin = stream.m_origin;
--- a/src/serving/order_lease.cpp
+++ b/src/serving/order_lease.cpp
@@ -56,8 +56,9 @@
     {
         return std::nullopt;
     }
-    // Another process may hold the lease by a row that the store has lost.
-    if (m_row.m_version != 0 && !m_row_is_own && m_store_known_since &&
+    // Another process may hold the lease by a row that the store has lost, also
+    // if there is none.
+    if (!m_row_is_own && m_store_known_since &&
         now - *m_store_known_since <
             m_options.m_duration + m_options.m_handover)
     {
--- a/tests/serving/freshness_test.cpp
+++ b/tests/serving/freshness_test.cpp
@@ -81,6 +81,12 @@
     lease.note_row({7, instance_id("a"), 60s, 0s}, start);
     CHECK_FALSE(lease.write_due(start + 4s));
     CHECK(lease.write_due(start + 5s) == 7);
+    // The copy may be from before the first lease.
+    order_lease first(instance_id("b"), lease_options());
+    first.note_store_known_since(start);
+    first.note_row({}, start);
+    CHECK_FALSE(first.write_due(start + 4s));
+    CHECK(first.write_due(start + 5s) == 0);
     // A peer knows that no copy was restored for longer than a holder's orders
     // can come.
     lease.note_store_known_since(start - 60s);
