--- a/tests/entry/stand_in.hpp
+++ b/tests/entry/stand_in.hpp
@@ -213,12 +213,6 @@
         m_store_failed = true;
     }
 
-    /** The store answers again. */
-    void restore_store()
-    {
-        m_store_failed = false;
-    }
-
 private:
     entry::adapter make_adapter();
     void start(peer::transport_factory const& make_transport);
