Test: [Entry] the case of bytes without end waits until the upstream has seen the close

The thread sanitizer stage failed in 9 of 10 places since the caller asks for a close: its answer comes before the script of the upstream has noticed the end of its connection.

--- a/tests/entry/endless_bytes_test.cpp
+++ b/tests/entry/endless_bytes_test.cpp
@@ -3,6 +3,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <thread>
+
 using namespace daisylead;
 using namespace daisylead::entry_test;
 using namespace std::chrono_literals;
@@ -87,6 +89,11 @@
                               "Connection: close\r\nContent-Length: 0\r\n\r\n",
                               1900ms);
         CHECK(answer.starts_with("HTTP/1.1 502"));
+        // The upstream notices the close a little later than the caller.
+        for (int i = 0; i < 100 && !closed; ++i)
+        {
+            std::this_thread::sleep_for(10ms);
+        }
         CHECK(closed);
     }
 }
