Test: [Entry] one copy of the row of an upstream and of a chunk

They call make_upstream_record() and make_chunk() of the stand-in. No case, check or bound has changed.

--- a/tests/entry/crashing_part_test.cpp
+++ b/tests/entry/crashing_part_test.cpp
@@ -49,14 +49,8 @@
         std::vector<serving::upstream_record> list;
         for (std::size_t i = 0; i < m_servers.size(); ++i)
         {
-            serving::upstream_record record;
-            record.m_id = upstream_id("u" + std::to_string(i));
-            record.m_service = service_id("s");
-            record.m_address = m_servers[i]->address();
-            record.m_zone = zone_id("a");
-            record.m_slots = 10;
-            record.m_started = 1;
-            list.push_back(record);
+            list.push_back(make_upstream_record("u" + std::to_string(i),
+                                                m_servers[i]->address()));
         }
         return list;
     }
--- a/tests/entry/endless_bytes_test.cpp
+++ b/tests/entry/endless_bytes_test.cpp
@@ -51,14 +51,7 @@
 
 serving::upstream_record make_record(scripted_upstream const& upstream)
 {
-    serving::upstream_record record;
-    record.m_id = upstream_id("u");
-    record.m_service = service_id("s");
-    record.m_address = upstream.address();
-    record.m_zone = zone_id("a");
-    record.m_slots = 10;
-    record.m_started = 1;
-    return record;
+    return make_upstream_record("u", upstream.address());
 }
 
 } // namespace
--- a/tests/entry/entry_test.cpp
+++ b/tests/entry/entry_test.cpp
@@ -53,19 +53,6 @@
     return catalog;
 }
 
-serving::upstream_record make_upstream(char const* id,
-                                       std::string const& address)
-{
-    serving::upstream_record record;
-    record.m_id = upstream_id(id);
-    record.m_service = service_id("s");
-    record.m_address = address;
-    record.m_zone = zone_id("a");
-    record.m_slots = 10;
-    record.m_started = 1;
-    return record;
-}
-
 std::string make_request(std::string const& method, std::string const& path,
                          std::string const& fields = "",
                          std::string const& body = "")
@@ -128,7 +115,7 @@
                 make_answer("201 Made", "Seal: s1\r\nOther: o\r\n", "done"));
         });
     running_instance instance(make_catalog(),
-                              {make_upstream("u1", upstream.address())});
+                              {make_upstream_record("u1", upstream.address())});
     std::string const answer = instance.exchange(
         make_request("POST", "/once/x?q=1",
                      "Connection: X-Keep, Drop-Me\r\nDrop-Me: 1\r\n"
@@ -175,8 +162,8 @@
     scripted_upstream second([](served_connection& connection)
                              { connection.read_request(); });
     running_instance instance(make_catalog(),
-                              {make_upstream("u1", first.address()),
-                               make_upstream("u2", second.address())});
+                              {make_upstream_record("u1", first.address()),
+                               make_upstream_record("u2", second.address())});
     std::string const answer =
         instance.exchange(make_request("POST", "/once/x", "", "b"));
     CHECK(starts_with(answer, "HTTP/1.1 502 "));
@@ -195,8 +182,8 @@
     scripted_upstream first(script);
     scripted_upstream second(script);
     running_instance instance(make_catalog(),
-                              {make_upstream("u1", first.address()),
-                               make_upstream("u2", second.address())});
+                              {make_upstream_record("u1", first.address()),
+                               make_upstream_record("u2", second.address())});
     for (int i = 0; i < 6; ++i)
     {
         CHECK(starts_with(
@@ -220,8 +207,8 @@
     scripted_upstream first(script);
     scripted_upstream second(script);
     running_instance instance(make_catalog(),
-                              {make_upstream("u1", first.address()),
-                               make_upstream("u2", second.address())});
+                              {make_upstream_record("u1", first.address()),
+                               make_upstream_record("u2", second.address())});
     std::string const answer =
         instance.exchange(make_request("GET", "/again/x"));
     CHECK(starts_with(answer, "HTTP/1.1 200 "));
@@ -243,7 +230,7 @@
                     : make_answer("200 OK", "", "forged"));
         });
     running_instance instance(make_catalog(),
-                              {make_upstream("u1", upstream.address())});
+                              {make_upstream_record("u1", upstream.address())});
     std::string const late =
         instance.exchange(make_request("POST", "/once/late"));
     CHECK(late.find("good") != std::string::npos);
@@ -264,25 +251,19 @@
                                  std::to_string(requests) +
                                  "\r\nContent-Type: text/event-stream\r\n"
                                  "Transfer-Encoding: chunked\r\n\r\n";
-        auto const chunk = [](std::string const& bytes)
-        {
-            char size[16];
-            std::snprintf(size, sizeof size, "%zx", bytes.size());
-            return std::string(size) + "\r\n" + bytes + "\r\n";
-        };
         if (requests++ == 0)
         {
-            connection.write(head + chunk("id: 1\ndata: a\n\nid: 2\nda"));
+            connection.write(head + make_chunk("id: 1\ndata: a\n\nid: 2\nda"));
             return;
         }
         resumed = request;
-        connection.write(head + chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n");
+        connection.write(head + make_chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n");
     };
     scripted_upstream first(script);
     scripted_upstream second(script);
     running_instance instance(make_catalog(),
-                              {make_upstream("u1", first.address()),
-                               make_upstream("u2", second.address())});
+                              {make_upstream_record("u1", first.address()),
+                               make_upstream_record("u2", second.address())});
     std::string const answer =
         instance.exchange(make_request("POST", "/stream/x"));
     CHECK(answer.find("Seal: s0") != std::string::npos);
@@ -304,7 +285,7 @@
             closed = connection.wait_for_close(1500ms);
         });
     running_instance instance(make_catalog(),
-                              {make_upstream("u1", upstream.address())});
+                              {make_upstream_record("u1", upstream.address())});
     instance.send_and_close(make_request("GET", "/again/x"), 100ms);
     for (int i = 0; i < 50 && !closed; ++i)
     {
@@ -336,7 +317,7 @@
             }
         });
     running_instance instance(make_catalog(),
-                              {make_upstream("u1", upstream.address())});
+                              {make_upstream_record("u1", upstream.address())});
     auto const status =
         [&instance](std::string const& path, std::string const& fields)
     {
@@ -380,8 +361,8 @@
                 connection.write(copy + own);
                 connection.read_request();
             });
-        running_instance instance(make_catalog(),
-                                  {make_upstream("u1", upstream.address())});
+        running_instance instance(
+            make_catalog(), {make_upstream_record("u1", upstream.address())});
         CHECK(starts_with(
             instance.exchange(make_request("GET", "/again/x"), 200ms),
             "HTTP/1.1 200"));
@@ -407,7 +388,7 @@
             }
         });
     running_instance instance(make_catalog(),
-                              {make_upstream("u1", leaving.address())});
+                              {make_upstream_record("u1", leaving.address())});
     CHECK(starts_with(instance.exchange(make_request("GET", "/again/x"), 200ms),
                       "HTTP/1.1 200"));
     // It is the only upstream: a refusal is better than a request to one that
@@ -429,7 +410,7 @@
             }
         });
     running_instance instance(make_catalog(),
-                              {make_upstream("u1", full.address())});
+                              {make_upstream_record("u1", full.address())});
     auto const began = std::chrono::steady_clock::now();
     for (int i = 0; i < 3; ++i)
     {
@@ -463,8 +444,8 @@
                     written += block.size();
                 }
             });
-        running_instance instance(make_catalog(),
-                                  {make_upstream("u1", endless.address())});
+        running_instance instance(
+            make_catalog(), {make_upstream_record("u1", endless.address())});
         std::string const path =
             begin.ends_with("data: ") ? "/stream/x" : "/once/x";
         std::string const answer =
@@ -508,8 +489,9 @@
         route.m_timeout = 6000ms;
         route.m_target_latency = 300ms;
     }
-    running_instance instance(catalog, {make_upstream("u1", stalled.address()),
-                                        make_upstream("u2", sound.address())});
+    running_instance instance(catalog,
+                              {make_upstream_record("u1", stalled.address()),
+                               make_upstream_record("u2", sound.address())});
     for (int i = 0; i < 4; ++i)
     {
         std::string const answer =
@@ -532,7 +514,7 @@
             connection.wait_for_close(1s);
         });
     running_instance instance(make_catalog(),
-                              {make_upstream("u1", upstream.address())});
+                              {make_upstream_record("u1", upstream.address())});
     std::string const request =
         make_request("POST", "/once/x", "", "0123456789");
     std::string const answer = instance.exchange_in_parts(
--- a/tests/entry/outdated_weights_test.cpp
+++ b/tests/entry/outdated_weights_test.cpp
@@ -38,13 +38,7 @@
                                      std::string const& address,
                                      std::int64_t version)
 {
-    serving::upstream_record record;
-    record.m_id = upstream_id(id);
-    record.m_service = service_id("s");
-    record.m_address = address;
-    record.m_zone = zone_id("a");
-    record.m_slots = 10;
-    record.m_started = 1;
+    serving::upstream_record record = make_upstream_record(id, address);
     record.m_weights = {{model, version}};
     return record;
 }
--- a/tests/entry/repeated_refusal_test.cpp
+++ b/tests/entry/repeated_refusal_test.cpp
@@ -30,19 +30,6 @@
     return catalog;
 }
 
-serving::upstream_record make_upstream(char const* id,
-                                       std::string const& address)
-{
-    serving::upstream_record record;
-    record.m_id = upstream_id(id);
-    record.m_service = service_id("s");
-    record.m_address = address;
-    record.m_zone = zone_id("a");
-    record.m_slots = 10;
-    record.m_started = 1;
-    return record;
-}
-
 std::string make_request(std::string const& path, std::string const& id)
 {
     return "GET " + path + " HTTP/1.1\r\nHost: h\r\nId: " + id +
@@ -104,8 +91,8 @@
                     connection.write(make_success("a1", "own"));
                 }
             });
-        running_instance instance(make_catalog(),
-                                  {make_upstream("u1", upstream.address())});
+        running_instance instance(
+            make_catalog(), {make_upstream_record("u1", upstream.address())});
         std::string const answer = instance.exchange(make_request(path, "a1"));
         INFO(path << ": " << answer);
         CHECK(starts_with(answer, "HTTP/1.1 200"));
@@ -152,7 +139,8 @@
                     }
                 });
             running_instance instance(
-                make_catalog(), {make_upstream("u1", upstream.address())});
+                make_catalog(),
+                {make_upstream_record("u1", upstream.address())});
             CHECK(starts_with(instance.exchange(make_request("/again/x", "a1")),
                               "HTTP/1.1 400"));
             std::string const answer =
@@ -183,7 +171,7 @@
             }
         });
     running_instance instance(make_catalog(),
-                              {make_upstream("u1", upstream.address())});
+                              {make_upstream_record("u1", upstream.address())});
     CHECK(starts_with(instance.exchange(make_request("/again/x", "a1")),
                       "HTTP/1.1 400"));
     CHECK(starts_with(instance.exchange(make_request("/once/y", "b2")),
@@ -211,9 +199,9 @@
         };
         scripted_upstream first(run);
         scripted_upstream second(run);
-        running_instance instance(make_catalog(),
-                                  {make_upstream("u1", first.address()),
-                                   make_upstream("u2", second.address())});
+        running_instance instance(
+            make_catalog(), {make_upstream_record("u1", first.address()),
+                             make_upstream_record("u2", second.address())});
         std::string const answer =
             instance.exchange(make_request("/again/x", "a1"));
         INFO(status << ": " << answer);
--- a/tests/entry/restored_store_test.cpp
+++ b/tests/entry/restored_store_test.cpp
@@ -50,14 +50,7 @@
 public:
     std::vector<serving::upstream_record> records() const
     {
-        serving::upstream_record record;
-        record.m_id = upstream_id("u");
-        record.m_service = service_id("s");
-        record.m_address = m_server.address();
-        record.m_zone = zone_id("a");
-        record.m_slots = 10;
-        record.m_started = 1;
-        return {record};
+        return {make_upstream_record("u", m_server.address())};
     }
 
 private:
--- a/tests/entry/spoiled_event_test.cpp
+++ b/tests/entry/spoiled_event_test.cpp
@@ -19,13 +19,6 @@
     "HTTP/1.1 200 OK\r\nId: a1\r\nSeal: s\r\nContent-Type: text/event-stream"
     "\r\nTransfer-Encoding: chunked\r\n\r\n";
 
-std::string chunk(std::string const& bytes)
-{
-    char size[16];
-    std::snprintf(size, sizeof size, "%zx", bytes.size());
-    return std::string(size) + "\r\n" + bytes + "\r\n";
-}
-
 std::string make_request(std::string const& fields = "")
 {
     return "POST /again/x HTTP/1.1\r\nHost: h\r\nId: a1\r\n" + fields +
@@ -37,14 +30,9 @@
 struct listed_upstream
 {
     listed_upstream(std::string const& id, scripted_upstream::script run)
-        : m_upstream(std::move(run))
+        : m_upstream(std::move(run)),
+          m_record(make_upstream_record(id, m_upstream.address()))
     {
-        m_record.m_id = upstream_id(id);
-        m_record.m_service = service_id("s");
-        m_record.m_address = m_upstream.address();
-        m_record.m_zone = zone_id("a");
-        m_record.m_slots = 10;
-        m_record.m_started = 1;
     }
 
     scripted_upstream m_upstream;
@@ -74,8 +62,8 @@
           std::string("2\0", 2), std::string("2\x7f")})
     {
         std::vector<std::string> const answers = {
-            stream_head + chunk(event_1 + "id: " + id + "\ndata: b\n\n"),
-            stream_head + chunk(event_2) + last_chunk};
+            stream_head + make_chunk(event_1 + "id: " + id + "\ndata: b\n\n"),
+            stream_head + make_chunk(event_2) + last_chunk};
         std::atomic<std::size_t> next = 0;
         auto const script = [&](served_connection& connection)
         {
@@ -92,7 +80,7 @@
         CAPTURE(id.size());
         CHECK(answer.substr(
                   std::min(answer.size(), answer.find("\r\n\r\n") + 4)) ==
-              chunk(event_1) + chunk(event_2) + last_chunk);
+              make_chunk(event_1) + make_chunk(event_2) + last_chunk);
     }
 }
 
--- a/tests/entry/stand_in.cpp
+++ b/tests/entry/stand_in.cpp
@@ -335,6 +335,26 @@
     return catalog;
 }
 
+serving::upstream_record make_upstream_record(std::string const& id,
+                                              std::string const& address)
+{
+    serving::upstream_record record;
+    record.m_id = upstream_id(id);
+    record.m_service = service_id("s");
+    record.m_address = address;
+    record.m_zone = zone_id("a");
+    record.m_slots = 10;
+    record.m_started = 1;
+    return record;
+}
+
+std::string make_chunk(std::string const& bytes)
+{
+    char size[16];
+    std::snprintf(size, sizeof size, "%zx", bytes.size());
+    return std::string(size) + "\r\n" + bytes + "\r\n";
+}
+
 served_connection::served_connection(int descriptor) : m_descriptor(descriptor)
 {
 }
--- a/tests/entry/stand_in.hpp
+++ b/tests/entry/stand_in.hpp
@@ -21,6 +21,14 @@
  *          "/again/" at host "h", to service "s". */
 serving::catalog make_open_catalog(std::chrono::milliseconds target_latency);
 
+/** @return a row of service discovery for an upstream of service "s" in zone
+ *          "a" with ten slots. */
+serving::upstream_record make_upstream_record(std::string const& id,
+                                              std::string const& address);
+
+/** @return bytes as one chunk of a chunked body. */
+std::string make_chunk(std::string const& bytes);
+
 /** A connection accepted by a scripted upstream. */
 class served_connection
 {
--- a/tests/entry/stream_continuation_test.cpp
+++ b/tests/entry/stream_continuation_test.cpp
@@ -19,16 +19,10 @@
 std::string const stream_head = "HTTP/1.1 200 OK\r\n" + own +
                                 "Content-Type: text/event-stream\r\n" + chunked;
 
-std::string chunk(std::string const& bytes)
-{
-    char size[16];
-    std::snprintf(size, sizeof size, "%zx", bytes.size());
-    return std::string(size) + "\r\n" + bytes + "\r\n";
-}
-
 std::string const last_chunk = "0\r\n\r\n";
-std::string const rest_of_stream = stream_head + chunk(event_2) + last_chunk;
-std::string const cut_stream = stream_head + chunk(event_1 + "id: 2\nda");
+std::string const rest_of_stream =
+    stream_head + make_chunk(event_2) + last_chunk;
+std::string const cut_stream = stream_head + make_chunk(event_1 + "id: 2\nda");
 
 /** Upstreams of one request; each of them sends the next answer. */
 std::string answer_of(std::vector<std::string> const& answers)
@@ -54,14 +48,8 @@
                     connection.write(answers[next++]);
                 }
             }));
-        serving::upstream_record record;
-        record.m_id = upstream_id("u" + std::to_string(i));
-        record.m_service = service_id("s");
-        record.m_address = upstreams.back()->address();
-        record.m_zone = zone_id("a");
-        record.m_slots = 10;
-        record.m_started = 1;
-        records.push_back(record);
+        records.push_back(make_upstream_record("u" + std::to_string(i),
+                                               upstreams.back()->address()));
     }
     running_instance instance(catalog, records);
     std::string answer =
@@ -80,8 +68,8 @@
 std::vector<std::pair<std::string, std::string>> const no_continuations = {
     {"500 with length", with_length("500 Oops", "", "broken")},
     {"500 until close", "HTTP/1.1 500 Oops\r\n" + own + "\r\nbroken"},
-    {"500 chunked",
-     "HTTP/1.1 500 Oops\r\n" + own + chunked + chunk("broken") + last_chunk},
+    {"500 chunked", "HTTP/1.1 500 Oops\r\n" + own + chunked +
+                        make_chunk("broken") + last_chunk},
     {"500 like an event",
      with_length("500 Oops", "Content-Type: text/event-stream\r\n", event_2)},
     {"404 with length", with_length("404 Not Found", "", "broken")},
@@ -91,8 +79,8 @@
     {"304", "HTTP/1.1 304 Not Modified\r\n" + own + "\r\n"},
     {"not run 503", with_length("503 Full", "Not-Run: 1\r\n", "full")},
     {"not run 429", with_length("429 Limit", "Not-Run: 1\r\n", "full")},
-    {"without the seal",
-     "HTTP/1.1 200 OK\r\nId: a1\r\n" + chunked + chunk(event_2) + last_chunk},
+    {"without the seal", "HTTP/1.1 200 OK\r\nId: a1\r\n" + chunked +
+                             make_chunk(event_2) + last_chunk},
     {"cut status line", "HTTP/1.1 20"},
     {"cut field", "HTTP/1.1 200 OK\r\nId: a1\r\nSe"},
     {"200 of another type",
@@ -102,8 +90,9 @@
     {"206", with_length("206 Partial Content",
                         "Content-Type: text/event-stream\r\n", event_2)},
     {"no event", stream_head + last_chunk},
-    {"from the first id", stream_head + chunk(event_1 + event_2) + last_chunk},
-    {"same id", stream_head + chunk(event_1) + last_chunk},
+    {"from the first id",
+     stream_head + make_chunk(event_1 + event_2) + last_chunk},
+    {"same id", stream_head + make_chunk(event_1) + last_chunk},
 };
 
 } // namespace
@@ -113,7 +102,7 @@
     for (auto const& [name, bytes] : no_continuations)
     {
         INFO(name);
-        CHECK(answer_of({cut_stream, bytes}) == chunk(event_1));
+        CHECK(answer_of({cut_stream, bytes}) == make_chunk(event_1));
     }
 }
 
@@ -123,6 +112,6 @@
     {
         INFO(name);
         CHECK(answer_of({cut_stream, bytes, rest_of_stream}) ==
-              chunk(event_1) + chunk(event_2) + last_chunk);
+              make_chunk(event_1) + make_chunk(event_2) + last_chunk);
     }
 }
--- a/tests/entry/stream_software_test.cpp
+++ b/tests/entry/stream_software_test.cpp
@@ -19,13 +19,6 @@
 /** Events of each stream. */
 constexpr int last_event = 3;
 
-std::string chunk(std::string const& bytes)
-{
-    char size[16];
-    std::snprintf(size, sizeof size, "%zx", bytes.size());
-    return std::string(size) + "\r\n" + bytes + "\r\n";
-}
-
 /** @return value of a field of a request, or empty. */
 std::string field_of(std::string const& request, std::string const& name)
 {
@@ -103,8 +96,8 @@
         for (int id = resumed.empty() ? 1 : std::stoi(resumed) + 1;
              id <= last_event; ++id)
         {
-            connection.write(chunk("id: " + std::to_string(id) +
-                                   "\ndata: " + version + "\n\n"));
+            connection.write(make_chunk("id: " + std::to_string(id) +
+                                        "\ndata: " + version + "\n\n"));
             if (resumed.empty() && begins == first_part::stays_open)
             {
                 connection.wait_for_close(5s);
--- a/tests/entry/tunnel_test.cpp
+++ b/tests/entry/tunnel_test.cpp
@@ -94,16 +94,10 @@
         std::vector<serving::upstream_record> list;
         for (int i = 0; i < upstreams; ++i)
         {
-            serving::upstream_record record;
-            record.m_id = upstream_id("u" + std::to_string(i));
-            record.m_service = service_id("s");
-            record.m_address =
+            list.push_back(make_upstream_record(
+                "u" + std::to_string(i),
                 reachable ? m_upstreams[static_cast<std::size_t>(i)]->address()
-                          : "127.0.0.1:" + std::to_string(1 + i);
-            record.m_zone = zone_id("a");
-            record.m_slots = 10;
-            record.m_started = 1;
-            list.push_back(record);
+                          : "127.0.0.1:" + std::to_string(1 + i)));
         }
         return list;
     }
--- a/tests/entry/upstream_rate_test.cpp
+++ b/tests/entry/upstream_rate_test.cpp
@@ -49,14 +49,7 @@
 
     serving::upstream_record record(char const* id) const
     {
-        serving::upstream_record record;
-        record.m_id = upstream_id(id);
-        record.m_service = service_id("s");
-        record.m_address = m_server.address();
-        record.m_zone = zone_id("a");
-        record.m_slots = 10;
-        record.m_started = 1;
-        return record;
+        return make_upstream_record(id, m_server.address());
     }
 
     /** @return most requests in a window that began after @p from. */
