Fix: [Entry] a caller that left could end the request of another one

What callers saw: a request at a sound upstream got 502 because another caller, whose answer was still being written, ended its sending side.

Cause: a connection is given back to the pool when its answer has been read, before that answer is written to its caller. The request kept its pointer: the close of its caller, and the silence detector, could abort the connection while it served another request.

Change: return_connection() gives the connection back, forgets it and ends the watch of the silence detector; all four places call it.

Ruled out: a full close with unread bytes; there the failed write ends the request before its watch fires.

--- a/src/entry/request_attempt.cpp
+++ b/src/entry/request_attempt.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <utility>
 
 namespace daisylead::entry
 {
@@ -141,6 +142,12 @@
     return m_route.m_prompted && (m_route.m_streaming || m_route.m_repeatable);
 }
 
+void request_runner::return_connection()
+{
+    m_silence_watch.reset();
+    m_connector.put(std::exchange(m_upstream, nullptr));
+}
+
 void request_runner::end_count()
 {
     if (m_counted_at)
@@ -195,7 +202,7 @@
     if (m_needs_proven_target && !is_target_proven(place.m_upstream))
     {
         end_count();
-        m_connector.put(m_upstream);
+        return_connection();
         note_attempt(place, "unproven", times);
         if (++m_unreachable >= max_unreachable)
         {
@@ -289,6 +296,8 @@
             break;
         }
     }
+    int const status = read_result == io_result::ok ? m_upstream->status() : 0;
+    bool const success = status >= 200 && status < 300;
     attempt_outcome outcome = attempt_outcome::complete;
     next_action result = next_action::done;
     std::string outcome_label;
@@ -358,8 +367,6 @@
             m_state.m_upstream_pool.note_rejected_until(
                 id, boot_time() + *info.m_retry_after);
         }
-        int const status = m_upstream->status();
-        bool const success = status >= 200 && status < 300;
         if (info.m_misdirected || (info.m_not_run && status != 400))
         {
             m_state.m_upstream_pool.note_refused(
@@ -369,7 +376,7 @@
             read_result = co_await m_upstream->read_rest(rest, max_answer_size);
             if (read_result == io_result::ok)
             {
-                m_connector.put(m_upstream);
+                return_connection();
             }
             else
             {
@@ -431,6 +438,7 @@
             if (outcome_label.empty())
             {
                 bool const is_silent =
+                    m_silence_watch &&
                     m_silence_watch->reason() != abort_reason::none;
                 outcome_label =
                     is_silent ? "silent"
@@ -447,9 +455,6 @@
         }
     }
     m_silence_watch.reset();
-    bool const success = read_result == io_result::ok &&
-                         m_upstream->status() >= 200 &&
-                         m_upstream->status() < 300;
     // An error answer does not show that the prompt can be processed.
     m_state.note_attempt_ended(current_attempt,
                                outcome == attempt_outcome::complete && !success
@@ -491,7 +496,7 @@
             ? after_timeout()
             : after_failure(true, "answer_incomplete");
     }
-    m_connector.put(m_upstream);
+    return_connection();
     m_status = answer.m_status;
     m_end_reason = "answered";
     if (info.m_not_run)
@@ -599,7 +604,7 @@
         }
         if (ended)
         {
-            m_connector.put(m_upstream);
+            return_connection();
             m_end_reason = "answered";
             bool const written = co_await m_caller->end_stream();
             m_close_after = m_close_after || !written;
--- a/src/entry/request_runner.hpp
+++ b/src/entry/request_runner.hpp
@@ -85,6 +85,10 @@
     void note_stream_begun(serving::upstream_record const& upstream);
     awaitable<std::optional<serving::placement>> wait_for_placement();
     awaitable<next_action> attempt(serving::placement const& place);
+    /** Gives the connection of the current attempt back, when its call is done.
+     *  It may serve another request at once, so neither the caller's close nor
+     *  the silence detector may abort it any more. */
+    void return_connection();
     /** The current attempt is no longer in flight at its upstream. */
     void end_count();
     awaitable<next_action> answer_whole(http_connection& upstream,
--- a/tests/entry/stand_in.cpp
+++ b/tests/entry/stand_in.cpp
@@ -119,9 +119,15 @@
     return "127.0.0.1:" + std::to_string(port);
 }
 
-int connect_to(std::string const& address)
+/** @param receive_buffer bytes; 0: the usual size */
+int connect_to(std::string const& address, int receive_buffer = 0)
 {
     int const descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
+    if (receive_buffer > 0)
+    {
+        ::setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &receive_buffer,
+                     sizeof receive_buffer);
+    }
     sockaddr_in const target =
         loopback(std::stoi(address.substr(address.find(':') + 1)));
     if (::connect(descriptor, reinterpret_cast<sockaddr const*>(&target),
@@ -710,6 +716,18 @@
     return read_until_idle(descriptor, 1000ms);
 }
 
+void running_instance::send_and_half_close(
+    std::string const& bytes, std::chrono::milliseconds after,
+    std::chrono::milliseconds until_close)
+{
+    int const descriptor = connect_to(m_settings.m_caller_address, 4096);
+    send_all(descriptor, bytes);
+    std::this_thread::sleep_for(after);
+    ::shutdown(descriptor, SHUT_WR);
+    std::this_thread::sleep_for(until_close);
+    ::close(descriptor);
+}
+
 void running_instance::send_and_close(std::string const& bytes,
                                       std::chrono::milliseconds after)
 {
--- a/tests/entry/stand_in.hpp
+++ b/tests/entry/stand_in.hpp
@@ -180,6 +180,12 @@
     std::string exchange_while_busy(std::string const& bytes,
                                     std::chrono::milliseconds busy);
 
+    /** Sends bytes, reads nothing of the answer, and ends its sending side
+     *  after a time; closes the connection after another one. */
+    void send_and_half_close(std::string const& bytes,
+                             std::chrono::milliseconds after,
+                             std::chrono::milliseconds until_close);
+
     /** Sends a request in two parts, calls @p between after the first one,
      *  and reads the answer. */
     std::string exchange_in_parts(std::string const& first,
