Fix: [Limits] units of a request that was sent were refunded after an exception

Cause: the final answer after an exception is given by refuse(), which refunds a request that no upstream can have run; attempts that were interrupted were not counted as possible runs. Found by reading; no test of its own, as the adapter of the tests throws before a request is sent. Change: a request that was sent counts as one that may have run, as its 502 says.

--- a/src/entry/request_runner.cpp
+++ b/src/entry/request_runner.cpp
@@ -160,6 +160,8 @@
                    other_instance_retry_delay};
     if (m_sends > 0)
     {
+        // Not to be refunded either.
+        m_possible_runs = std::max(m_possible_runs, 1);
         reason.m_status = 502;
         reason.m_retry_after.reset();
     }
