Change: [Serving] processes of upstreams are compared without copies

note_list() runs for each confirmation of service discovery by a peer, several times a second, and built a process with two strings for each upstream to compare it. It compares the fields now; a listing no longer repeats the id. Behaviour is the same; the four cases of process_history_test pass. The time was not measured.

--- a/include/daisylead/serving/process_history_base.hpp
+++ b/include/daisylead/serving/process_history_base.hpp
@@ -16,8 +16,6 @@
     upstream_id m_upstream;
     std::int64_t m_started = 0;  ///< Unix ms
     software_version m_software; ///< what it runs
-
-    auto operator<=>(upstream_process const&) const = default;
 };
 
 /** Records which processes were listed under each id, also after they are gone.
@@ -47,17 +45,24 @@
     bool is_contradicted(upstream_process const& process) const;
 
 private:
+    /** A process of one upstream. */
     struct listing
     {
-        upstream_process m_process;
+        std::int64_t m_started; ///< Unix ms
+        software_version m_software;
         time_point m_first_listed;
         time_point m_last_listed;
     };
 
-    listing const* find(upstream_process const& process) const;
+    using listings = std::vector<listing>;
+
+    /** @return the listing of a process, or the end. */
+    template <class Listings>
+    static auto find(Listings& known, std::int64_t started,
+                     software_version const& software);
 
     duration m_max_age;
-    std::map<upstream_id, std::vector<listing>> m_listings;
+    std::map<upstream_id, listings> m_listings;
     time_point m_next_sweep;
 };
 
--- a/src/serving/process_history.cpp
+++ b/src/serving/process_history.cpp
@@ -20,17 +20,24 @@
 
 process_history::process_history(duration max_age) : m_max_age(max_age) {}
 
+template <class Listings>
+auto process_history::find(Listings& known, std::int64_t started,
+                           software_version const& software)
+{
+    return std::find_if(known.begin(), known.end(),
+                        [&](listing const& item) {
+                            return item.m_started == started &&
+                                   item.m_software == software;
+                        });
+}
+
 void process_history::note_list(std::vector<upstream_record> const& list,
                                 time_point read_at)
 {
     for (upstream_record const& record : list)
     {
-        upstream_process process{record.m_id, record.m_started,
-                                 record.m_software};
-        std::vector<listing>& known = m_listings[record.m_id];
-        auto const found = std::find_if(known.begin(), known.end(),
-                                        [&](listing const& item)
-                                        { return item.m_process == process; });
+        listings& known = m_listings[record.m_id];
+        auto const found = find(known, record.m_started, record.m_software);
         if (found != known.end())
         {
             found->m_last_listed = std::max(found->m_last_listed, read_at);
@@ -40,7 +47,8 @@
         {
             known.erase(known.begin());
         }
-        known.push_back({std::move(process), read_at, read_at});
+        known.push_back(
+            {record.m_started, record.m_software, read_at, read_at});
     }
     if (read_at < m_next_sweep)
     {
@@ -56,42 +64,34 @@
                   [](auto const& entry) { return entry.second.empty(); });
 }
 
-process_history::listing const*
-process_history::find(upstream_process const& process) const
+bool process_history::is_contradicted(upstream_process const& process) const
 {
     auto const known = m_listings.find(process.m_upstream);
     if (known == m_listings.end())
     {
-        return nullptr;
+        return false;
     }
-    auto const found = std::find_if(known->second.begin(), known->second.end(),
-                                    [&](listing const& item)
-                                    { return item.m_process == process; });
-    return found == known->second.end() ? nullptr : &*found;
+    listings const& all = known->second;
+    auto const own = find(all, process.m_started, process.m_software);
+    return std::any_of(all.begin(), all.end(),
+                       [&](listing const& item)
+                       {
+                           return item.m_software != process.m_software &&
+                                  (own == all.end() ||
+                                   item.m_last_listed > own->m_first_listed);
+                       });
 }
 
-bool process_history::is_contradicted(upstream_process const& process) const
+bool process_history::is_proven(upstream_process const& process,
+                                time_point connected_at) const
 {
     auto const known = m_listings.find(process.m_upstream);
     if (known == m_listings.end())
     {
         return false;
     }
-    listing const* const own = find(process);
-    return std::any_of(
-        known->second.begin(), known->second.end(),
-        [&](listing const& item)
-        {
-            return item.m_process.m_software != process.m_software &&
-                   (own == nullptr || item.m_last_listed > own->m_first_listed);
-        });
-}
-
-bool process_history::is_proven(upstream_process const& process,
-                                time_point connected_at) const
-{
-    listing const* const own = find(process);
-    return own != nullptr && own->m_last_listed >= connected_at &&
+    auto const own = find(known->second, process.m_started, process.m_software);
+    return own != known->second.end() && own->m_last_listed >= connected_at &&
            !is_contradicted(process);
 }
 
