Fix: [Tests] the case of a caller that leaves waits for events, not for a time

With the address sanitizer it may take longer, and the second request uses a new connection: 2 == 1.

Ruled out: a connection that is given back too late; the first bytes for the caller come after it has been given back, and then it is always used again.

Change: the first caller waits for the first bytes of its answer, the upstream reports the second request, and only then the caller ends its sending side. The checks are the same.

--- a/tests/entry/returned_connection_test.cpp
+++ b/tests/entry/returned_connection_test.cpp
@@ -4,6 +4,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <future>
+#include <semaphore>
 #include <thread>
 
 using namespace daisylead;
@@ -13,6 +15,9 @@
 namespace
 {
 
+/** Longest wait for an event that the test needs. */
+constexpr auto event_timeout = 5s;
+
 std::string make_request(std::string const& id)
 {
     return "GET /again/x HTTP/1.1\r\nHost: h\r\nId: " + id +
@@ -33,8 +38,10 @@
     // Guards against a caller that leaves while its answer is written: the
     // connection to the upstream has been given back and serves another one.
     std::atomic<bool> first = true;
+    std::counting_semaphore<8> second_request(0);
+    std::counting_semaphore<8> caller_left(0);
     scripted_upstream upstream(
-        [&first](served_connection& connection)
+        [&](served_connection& connection)
         {
             while (!connection.read_request().empty())
             {
@@ -43,20 +50,26 @@
                     connection.write(make_answer("a1", 4190000));
                     continue;
                 }
-                std::this_thread::sleep_for(500ms);
+                second_request.release();
+                (void)caller_left.try_acquire_for(event_timeout);
+                // Time in which the instance notices that the caller left.
+                std::this_thread::sleep_for(200ms);
                 connection.write(make_answer("a2", 2));
             }
         });
     running_instance instance(make_open_catalog(400ms),
                               {make_upstream_record("u", upstream.address())});
-    std::thread leaving(
-        [&instance]
-        { instance.send_and_half_close(make_request("a1"), 500ms, 600ms); });
-    // The instance has read the whole answer by then, and cannot write it all.
-    std::this_thread::sleep_for(300ms);
-    std::string const answer = instance.exchange(make_request("a2"), 1500ms);
-    leaving.join();
-    CHECK(answer.starts_with("HTTP/1.1 200"));
+    stalled_caller const leaving(instance.caller_address(), make_request("a1"));
+    // The instance has read the whole answer when it writes the first bytes of
+    // it, and cannot write all.
+    REQUIRE(leaving.wait_for_answer(event_timeout));
+    std::future<std::string> answer = std::async(
+        std::launch::async,
+        [&] { return instance.exchange(make_request("a2"), event_timeout); });
+    CHECK(second_request.try_acquire_for(event_timeout));
+    leaving.end_sending();
+    caller_left.release();
+    CHECK(answer.get().starts_with("HTTP/1.1 200"));
     // Both requests used one connection.
     CHECK(upstream.connections() == 1);
 }
--- a/tests/entry/stand_in.cpp
+++ b/tests/entry/stand_in.cpp
@@ -413,6 +413,28 @@
     ::shutdown(m_descriptor, SHUT_RDWR);
 }
 
+stalled_caller::stalled_caller(std::string const& address,
+                               std::string const& bytes)
+    : m_descriptor(connect_to(address, 4096))
+{
+    send_all(m_descriptor, bytes);
+}
+
+stalled_caller::~stalled_caller()
+{
+    ::close(m_descriptor);
+}
+
+bool stalled_caller::wait_for_answer(std::chrono::milliseconds timeout) const
+{
+    return is_readable(m_descriptor, timeout);
+}
+
+void stalled_caller::end_sending() const
+{
+    ::shutdown(m_descriptor, SHUT_WR);
+}
+
 scripted_upstream::scripted_upstream(script run)
     : m_run(std::move(run)), m_listener(listen_on_free_port()),
       m_address("127.0.0.1:" + std::to_string(port_of(m_listener))),
@@ -716,18 +738,6 @@
     return read_until_idle(descriptor, 1000ms);
 }
 
-void running_instance::send_and_half_close(
-    std::string const& bytes, std::chrono::milliseconds after,
-    std::chrono::milliseconds until_close)
-{
-    int const descriptor = connect_to(m_settings.m_caller_address, 4096);
-    send_all(descriptor, bytes);
-    std::this_thread::sleep_for(after);
-    ::shutdown(descriptor, SHUT_WR);
-    std::this_thread::sleep_for(until_close);
-    ::close(descriptor);
-}
-
 void running_instance::send_and_close(std::string const& bytes,
                                       std::chrono::milliseconds after)
 {
--- a/tests/entry/stand_in.hpp
+++ b/tests/entry/stand_in.hpp
@@ -99,6 +99,26 @@
     std::thread m_acceptor;
 };
 
+/** A caller that reads nothing of its answer. */
+class stalled_caller
+{
+public:
+    /** Connects with a small receive buffer and sends bytes. */
+    stalled_caller(std::string const& address, std::string const& bytes);
+    ~stalled_caller();
+    stalled_caller(stalled_caller const&) = delete;
+    stalled_caller& operator=(stalled_caller const&) = delete;
+
+    /** @return whether the answer began within @p timeout */
+    bool wait_for_answer(std::chrono::milliseconds timeout) const;
+
+    /** Ends its sending side; the connection stays open. */
+    void end_sending() const;
+
+private:
+    int m_descriptor;
+};
+
 /** Connects the instances of one process; messages are not lost. */
 class peer_network
 {
@@ -167,6 +187,12 @@
     running_instance(running_instance const&) = delete;
     running_instance& operator=(running_instance const&) = delete;
 
+    /** @return "IP:port" for callers. */
+    std::string const& caller_address() const
+    {
+        return m_settings.m_caller_address;
+    }
+
     /** Sends bytes on a new connection and reads the answer until the
      *  connection ends or is idle.
      *  @param idle_timeout time without a byte that ends the reading */
@@ -180,12 +206,6 @@
     std::string exchange_while_busy(std::string const& bytes,
                                     std::chrono::milliseconds busy);
 
-    /** Sends bytes, reads nothing of the answer, and ends its sending side
-     *  after a time; closes the connection after another one. */
-    void send_and_half_close(std::string const& bytes,
-                             std::chrono::milliseconds after,
-                             std::chrono::milliseconds until_close);
-
     /** Sends a request in two parts, calls @p between after the first one,
      *  and reads the answer. */
     std::string exchange_in_parts(std::string const& first,
