Fix: [Tests] the case of a caller that leaves counts requests, not connections

Change: the upstream counts the requests of each connection; both must come by one. This is as strict for requests, and says nothing of connections without one.

--- a/tests/entry/returned_connection_test.cpp
+++ b/tests/entry/returned_connection_test.cpp
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <future>
 #include <semaphore>
 #include <thread>
@@ -40,11 +41,14 @@
     std::atomic<bool> first = true;
     std::counting_semaphore<8> second_request(0);
     std::counting_semaphore<8> caller_left(0);
+    std::atomic<int> most_requests = 0; ///< on one connection
     scripted_upstream upstream(
         [&](served_connection& connection)
         {
-            while (!connection.read_request().empty())
+            for (int requests = 1; !connection.read_request().empty();
+                 ++requests)
             {
+                most_requests = std::max(most_requests.load(), requests);
                 if (first.exchange(false))
                 {
                     connection.write(make_answer("a1", 4190000));
@@ -70,6 +74,7 @@
     leaving.end_sending();
     caller_left.release();
     CHECK(answer.get().starts_with("HTTP/1.1 200"));
-    // Both requests used one connection.
-    CHECK(upstream.connections() == 1);
+    // Both requests used one connection. The silence detector may have opened
+    // another one, without a request.
+    CHECK(most_requests == 2);
 }
