Change: [Routing] engines are chosen by their room, among a sample

Only slots ruled an engine out, and all instances compared all engines by news that is up to a second old, so that they chose the same one.

Change: room_limit() gives each class of requests as much waiting room at an engine as it can use within its latency target, beyond that of less urgent ones; room_share divides scarce free memory among the instances; a request is compared on its three home engines, those that keep its prefix and two random ones, and a highly used one is passed over at random. A full mesh still compares all.

--- a/include/daisylead/serving/catalog_index_base.hpp
+++ b/include/daisylead/serving/catalog_index_base.hpp
@@ -3,6 +3,7 @@
 
 #include <daisylead/access/key_digest_type.hpp>
 #include <daisylead/serving/catalog_type.hpp>
+#include <daisylead/serving/room_limit_func.hpp>
 
 #include <functional>
 #include <string>
@@ -32,6 +33,10 @@
     /** @return the service, or null. */
     service const* find_service(service_id const& id) const;
 
+    /** @return classes of the prompted requests to the service. */
+    std::vector<request_class> const&
+    classes_of(service_id const& service) const;
+
     /** @return address of the KV cache store, or empty. */
     std::string const& kv_store() const
     {
@@ -56,6 +61,7 @@
     std::unordered_map<access::key_digest, organisation const*, digest_hash>
         m_by_key;
     std::unordered_map<service_id, service const*> m_by_service;
+    std::unordered_map<service_id, std::vector<request_class>> m_classes;
     std::string m_kv_store;
 };
 
--- a/include/daisylead/serving/fleet_news_type.hpp
+++ b/include/daisylead/serving/fleet_news_type.hpp
@@ -52,6 +52,9 @@
     std::uint16_t m_position = 0; ///< index in the list, see load_news
     std::uint16_t m_requests = 0; ///< requests in flight
     std::uint32_t m_tokens = 0; ///< prompt and output tokens of these requests
+    /** Since it last sent bytes to one of these requests, or since the first of
+     *  them was sent; 0: not known. */
+    std::uint16_t m_silence_ms = 0;
 };
 
 /** Request rate limit of the upstream at one position of the upstream list. */
@@ -64,13 +67,23 @@
     double m_granted = 0;      ///< share of the receiver, from its relay
 };
 
-/** Requests in flight and rate limits by position in the upstream list, which
- * is sorted by id. */
+/** Measured speed of the upstream at one position of the upstream list. */
+struct position_speed
+{
+    std::uint16_t m_position = 0; ///< index in the list, see load_news
+    float m_slowness = 1; ///< time of its answers relative to its service's
+    std::uint16_t m_samples = 0; ///< answers that the estimate rests on
+    std::uint16_t m_age_ms = 0;  ///< of the newest of them
+};
+
+/** Requests in flight, rate limits and speeds by position in the upstream list,
+ *  which is sorted by id. */
 struct load_news
 {
     std::uint64_t m_list_digest = 0; ///< digest of that list
     std::vector<position_load> m_loads;
     std::vector<position_rate> m_rates;
+    std::vector<position_speed> m_speeds;
 };
 
 /** Difference between two upstream lists of service discovery. */
--- a/include/daisylead/serving/upstream_pool_base.hpp
+++ b/include/daisylead/serving/upstream_pool_base.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <daisylead/serving/catalog_type.hpp>
+#include <daisylead/serving/room_share_base.hpp>
 #include <daisylead/serving/upstream_rates_base.hpp>
 
 #include <array>
@@ -75,6 +76,11 @@
     double m_usable_memory_fraction = 0.7;
     /** Max. requests at an upstream per slot, over all instances. */
     double m_max_per_slot = 2.0;
+    /** Upstreams compared in a sampled choice: those that come first in the
+     *  order of the hash of the prompt prefix, so that few engines keep it. */
+    std::size_t m_home_candidates = 3;
+    /** Further ones, drawn anew for each request. */
+    std::size_t m_random_candidates = 2;
     /** TTL of the state that an engine is loading; the holder of the order
      *  lease refreshes it. */
     duration m_switching_ttl = std::chrono::milliseconds(1500);
@@ -96,6 +102,9 @@
     std::set<upstream_id> m_excluded; ///< upstreams already tried
     bool m_repeatable = true;         ///< another upstream may run it, too
     zone_id m_zone;                   ///< zone of this instance
+    /** Max. fraction of an engine's memory that the requests there may need
+     *  with this one, see room_limit(); nothing: no limit. */
+    std::optional<double> m_max_memory_use;
 };
 
 /** Why no upstream was chosen. */
@@ -192,6 +201,23 @@
     std::vector<std::pair<std::int64_t, time_point>>
     named(model_id const& model) const;
 
+    /** From now on, a request is compared on a sample of the upstreams only,
+     *  and the free memory of engines is divided among the instances: the news
+     *  of a large fleet is late, and if each instance compared all upstreams,
+     *  all would choose the same one until it is overloaded.
+     *  @param instances of the fleet
+     *  @param news_age usual age of what is known of the others */
+    void set_sampled(std::int64_t instances, duration news_age);
+
+    /** From now on, a request is compared on all upstreams. */
+    void set_unsampled()
+    {
+        m_sampled = false;
+    }
+
+    /** Sets the memory of one engine of a service; 0: unknown. */
+    void set_capacity(service_id const& service, token_count capacity);
+
     /** Chooses the upstream with the lowest estimated cost. The request counts
      * as sent to it as far as its request rate limit is concerned. */
     placement place(placement_request const& request, time_point now);
@@ -270,7 +296,8 @@
     in_flight_counts own_in_flight() const;
 
     /** @return requests in flight of all instances but one peer, at upstreams
-     *          with at least @p min_share of their slots in use. */
+     *          with at least @p min_share of their slots or of their memory in
+     *          use. */
     in_flight_counts in_flight_without(instance_id const& peer,
                                        double min_share) const;
 
@@ -373,7 +400,31 @@
         bool m_in_group = false; ///< included in the own counts
     };
 
+    /** An upstream that can take a request. */
+    struct candidate
+    {
+        std::uint64_t m_weight = 0; ///< weight of rendezvous hashing
+        std::size_t m_rank = 0;     ///< in the order of the weights
+        entry* m_entry = nullptr;
+    };
+
     void add_peer_load(peer_load const& load, int sign);
+    bool has_room(entry const& item, placement_request const& request) const;
+    void keep_sample(std::vector<candidate>& candidates,
+                     placement_request const& request, time_point now);
+    std::size_t choose_sampled(std::vector<candidate> const& sample,
+                               placement_request const& request,
+                               double usual_use, time_point now);
+    std::size_t choose_cheapest(std::vector<candidate> const& candidates,
+                                placement_request const& request,
+                                time_point now) const;
+    double mean_use(std::vector<candidate> const& candidates,
+                    placement_request const& request) const;
+    bool take_room(std::vector<candidate> const& candidates,
+                   placement_request const& request, time_point now);
+    duration fixed_cost(entry const& item, placement_request const& request,
+                        std::size_t rank, time_point now) const;
+    token_count capacity_of(service_id const& service) const;
     void touch_prefix(entry& item, std::uint64_t prefix) const;
     duration cost(entry const& item, placement_request const& request,
                   std::size_t rank, time_point now) const;
@@ -392,6 +443,11 @@
     std::function<std::uint64_t()> m_random;
     std::unordered_map<upstream_id, entry> m_entries;
     std::unordered_map<service_id, std::vector<upstream_id>> m_by_service;
+    std::unordered_map<service_id, token_count> m_capacities;
+    bool m_sampled = false;
+    std::unordered_map<service_id, room_share> m_room_shares;
+    std::int64_t m_instances = 1;
+    duration m_news_age{};
     std::unordered_map<model_id, named_versions> m_named;
     std::unordered_map<instance_id, peer_load> m_peers;
     upstream_rates m_rates;
--- a/src/entry/fleet_state.cpp
+++ b/src/entry/fleet_state.cpp
@@ -272,6 +272,10 @@
     {
         m_quotas.set_limit(owner.m_id, {owner.m_rate, owner.m_burst}, now);
     }
+    for (serving::service const& item : catalog.m_services)
+    {
+        m_upstream_pool.set_capacity(item.m_id, item.m_capacity);
+    }
     m_catalog =
         std::make_shared<serving::catalog_index const>(std::move(catalog));
 }
@@ -415,9 +419,18 @@
         m_upstream_pool.drop_peer(id);
     }
     m_retries.set_instances(static_cast<std::size_t>(m_roster.fleet_size(now)));
-    m_quotas.set_news_age(m_roster.is_mesh()       ? mesh_news_age
-                          : m_roster.is_relay(now) ? relay_news_age
-                                                   : dependent_news_age);
+    duration const news_age = m_roster.is_mesh()       ? mesh_news_age
+                              : m_roster.is_relay(now) ? relay_news_age
+                                                       : dependent_news_age;
+    m_quotas.set_news_age(news_age);
+    if (m_roster.is_mesh())
+    {
+        m_upstream_pool.set_unsampled();
+    }
+    else
+    {
+        m_upstream_pool.set_sampled(m_roster.fleet_size(now), news_age);
+    }
 }
 
 serving::use_totals
--- a/src/entry/request_runner.cpp
+++ b/src/entry/request_runner.cpp
@@ -41,6 +41,9 @@
  *  is worse for the caller than an immediate one. */
 constexpr int hold_divisor = 8;
 
+/** Time in which an engine serves as much as its memory holds. */
+constexpr duration engine_drain_time = 1500ms;
+
 /** Interval of placement attempts while a request is held. */
 constexpr std::chrono::milliseconds hold_poll_interval = 25ms;
 
@@ -553,6 +556,12 @@
     placement_query.m_capacity = upstream_capacity();
     placement_query.m_zone = m_state.m_settings.m_zone;
     placement_query.m_repeatable = m_route.m_repeatable;
+    if (m_route.m_prompted && placement_query.m_capacity.value() > 0)
+    {
+        placement_query.m_max_memory_use =
+            serving::room_limit(m_catalog->classes_of(m_service), m_priority,
+                                m_route.m_target_latency, engine_drain_time);
+    }
     for (;;)
     {
         time_point const now = boot_time();
--- a/src/peer/codec.cpp
+++ b/src/peer/codec.cpp
@@ -376,19 +376,9 @@
     }
 }
 
-void encode_load(serving::load_news const& load, wire::LoadNews::Builder target)
+void encode_rates(serving::load_news const& load,
+                  wire::LoadNews::Builder target)
 {
-    target.setListDigest(load.m_list_digest);
-    unsigned const size = size_of(load.m_loads);
-    auto positions = target.initPositions(size);
-    auto requests = target.initRequests(size);
-    auto tokens = target.initTokens(size);
-    for (unsigned i = 0; i < size; ++i)
-    {
-        positions.set(i, load.m_loads[i].m_position);
-        requests.set(i, load.m_loads[i].m_requests);
-        tokens.set(i, load.m_loads[i].m_tokens);
-    }
     if (load.m_rates.empty())
     {
         return;
@@ -411,6 +401,47 @@
     }
 }
 
+void encode_speeds(serving::load_news const& load,
+                   wire::LoadNews::Builder target)
+{
+    if (load.m_speeds.empty())
+    {
+        return;
+    }
+    unsigned const size = size_of(load.m_speeds);
+    auto positions = target.initSpeedPositions(size);
+    auto slownesses = target.initSlownesses(size);
+    auto samples = target.initSpeedSamples(size);
+    auto ages = target.initSpeedAgesMs(size);
+    for (unsigned i = 0; i < size; ++i)
+    {
+        serving::position_speed const& speed = load.m_speeds[i];
+        positions.set(i, speed.m_position);
+        slownesses.set(i, speed.m_slowness);
+        samples.set(i, speed.m_samples);
+        ages.set(i, speed.m_age_ms);
+    }
+}
+
+void encode_load(serving::load_news const& load, wire::LoadNews::Builder target)
+{
+    target.setListDigest(load.m_list_digest);
+    unsigned const size = size_of(load.m_loads);
+    auto positions = target.initPositions(size);
+    auto requests = target.initRequests(size);
+    auto tokens = target.initTokens(size);
+    auto silences = target.initSilencesMs(size);
+    for (unsigned i = 0; i < size; ++i)
+    {
+        positions.set(i, load.m_loads[i].m_position);
+        requests.set(i, load.m_loads[i].m_requests);
+        tokens.set(i, load.m_loads[i].m_tokens);
+        silences.set(i, load.m_loads[i].m_silence_ms);
+    }
+    encode_rates(load, target);
+    encode_speeds(load, target);
+}
+
 void encode_changes(serving::upstream_changes const& changes,
                     wire::UpstreamChanges::Builder target)
 {
@@ -805,6 +836,28 @@
     return use;
 }
 
+void decode_speeds(wire::LoadNews::Reader source, serving::load_news& load)
+{
+    auto const positions = source.getSpeedPositions();
+    auto const slownesses = source.getSlownesses();
+    auto const samples = source.getSpeedSamples();
+    auto const ages = source.getSpeedAgesMs();
+    if (positions.size() != slownesses.size() ||
+        positions.size() != samples.size() || positions.size() != ages.size())
+    {
+        throw error("a peer's speeds have lists of different lengths");
+    }
+    for (unsigned i = 0; i < positions.size(); ++i)
+    {
+        if (!std::isfinite(slownesses[i]) || slownesses[i] <= 0)
+        {
+            throw error("a peer's speed is not a positive number");
+        }
+        load.m_speeds.push_back(
+            {positions[i], slownesses[i], samples[i], ages[i]});
+    }
+}
+
 serving::load_news decode_load(wire::LoadNews::Reader source)
 {
     serving::load_news load;
@@ -817,10 +870,14 @@
     {
         throw error("a peer's load has lists of different lengths");
     }
+    auto const silences = source.getSilencesMs();
+    bool const has_silences = silences.size() == positions.size();
     for (unsigned i = 0; i < positions.size(); ++i)
     {
-        load.m_loads.push_back({positions[i], requests[i], tokens[i]});
+        load.m_loads.push_back({positions[i], requests[i], tokens[i],
+                                has_silences ? silences[i] : std::uint16_t{0}});
     }
+    decode_speeds(source, load);
     auto const rate_positions = source.getRatePositions();
     auto const per_second = source.getRatesPerSecond();
     auto const ages = source.getRateAgesMs();
--- a/src/serving/catalog_index.cpp
+++ b/src/serving/catalog_index.cpp
@@ -51,6 +51,10 @@
     for (service const& item : m_content.m_services)
     {
         m_by_service.emplace(item.m_id, &item);
+        if (item.m_engine)
+        {
+            m_classes.emplace(item.m_id, request_classes(m_content, item.m_id));
+        }
         if (!item.m_kv_store.empty())
         {
             m_kv_store = item.m_kv_store;
@@ -85,4 +89,12 @@
     return found == m_by_service.end() ? nullptr : found->second;
 }
 
+std::vector<request_class> const&
+catalog_index::classes_of(service_id const& service) const
+{
+    static std::vector<request_class> const none;
+    auto const found = m_classes.find(service);
+    return found == m_classes.end() ? none : found->second;
+}
+
 } // namespace daisylead::serving
--- a/src/serving/upstream_pool.cpp
+++ b/src/serving/upstream_pool.cpp
@@ -1,4 +1,5 @@
 /** @file State of the upstreams, and load balancing among them. */
+#include <daisylead/serving/sampled_choice_func.hpp>
 #include <daisylead/serving/upstream_pool_base.hpp>
 
 #include <xxhash.h>
@@ -345,6 +346,14 @@
                        m_options.m_usable_memory_fraction,
                    0.0, max_overload) *
         std::chrono::duration<double>(m_options.m_memory_cost));
+    return total + fixed_cost(item, request, rank, now);
+}
+
+duration upstream_pool::fixed_cost(entry const& item,
+                                   placement_request const& request,
+                                   std::size_t rank, time_point now) const
+{
+    duration total{};
     if (item.m_record.m_zone != request.m_zone)
     {
         total += m_options.m_zone_cost;
@@ -389,11 +398,6 @@
     {
         return best;
     }
-    struct candidate
-    {
-        std::uint64_t m_weight; ///< weight of rendezvous hashing
-        entry* m_entry;
-    };
     std::vector<candidate> candidates;
     bool has_other_obstacle = false;
     for (upstream_id const& id : ids->second)
@@ -424,12 +428,8 @@
         {
             best.m_reason = no_placement::all_busy;
         }
-        double const limit = m_options.m_max_per_slot *
-                             static_cast<double>(std::max<std::int64_t>(
-                                 1, item.m_record.m_slots));
         if (item.m_switching_until > now || item.m_paused_until > now ||
-            item.m_rejected_until > now ||
-            static_cast<double>(item.requests()) >= limit)
+            item.m_rejected_until > now || !has_room(item, request))
         {
             has_other_obstacle = true;
             continue;
@@ -445,7 +445,7 @@
         candidates.push_back({request.m_prefix != 0
                                   ? rendezvous_weight(id, request.m_prefix)
                                   : m_random(),
-                              &item});
+                              0, &item});
     }
     best.m_candidates = candidates.size();
     if (has_other_obstacle || !candidates.empty())
@@ -459,21 +459,26 @@
     std::sort(candidates.begin(), candidates.end(),
               [](candidate const& a, candidate const& b)
               { return a.m_weight > b.m_weight; });
-    entry* chosen = nullptr;
-    duration min_cost = duration::max();
     for (std::size_t rank = 0; rank < candidates.size(); ++rank)
     {
-        entry* const item = candidates[rank].m_entry;
-        // Without a request, the end of a request rate limit remains unknown.
-        duration const estimate = m_rates.wants_answer(item->m_record.m_id, now)
-                                      ? duration::zero()
-                                      : cost(*item, request, rank, now);
-        if (chosen == nullptr || estimate < min_cost)
+        candidates[rank].m_rank = rank;
+    }
+    std::size_t index = 0;
+    if (m_sampled)
+    {
+        if (!take_room(candidates, request, now))
         {
-            min_cost = estimate;
-            chosen = item;
+            return best;
         }
+        double const usual_use = mean_use(candidates, request);
+        keep_sample(candidates, request, now);
+        index = choose_sampled(candidates, request, usual_use, now);
+    }
+    else
+    {
+        index = choose_cheapest(candidates, request, now);
     }
+    entry* const chosen = candidates[index].m_entry;
     best.m_reason = no_placement::none;
     best.m_upstream = chosen->m_record;
     auto const loaded = chosen->m_record.m_weights.find(request.m_model);
@@ -481,13 +486,161 @@
         loaded == chosen->m_record.m_weights.end() ? 0 : loaded->second;
     best.m_likely_cached = request.m_prefix != 0 &&
                            chosen->m_prefix_index.contains(request.m_prefix);
-    best.m_cost = min_cost;
+    best.m_cost = cost(*chosen, request, candidates[index].m_rank, now);
     best.m_in_flight = chosen->requests();
     best.m_rate_limit = m_rates.limit(chosen->m_record.m_id);
     m_rates.note_sent(chosen->m_record.m_id, now);
     return best;
 }
 
+bool upstream_pool::has_room(entry const& item,
+                             placement_request const& request) const
+{
+    double const limit =
+        m_options.m_max_per_slot *
+        static_cast<double>(std::max<std::int64_t>(1, item.m_record.m_slots));
+    if (static_cast<double>(item.requests()) >= limit)
+    {
+        return false;
+    }
+    // An idle engine takes any request: one that exceeds the limit by itself
+    // could never run otherwise.
+    return !request.m_max_memory_use || item.requests() == 0 ||
+           memory_use(item, request.m_capacity, request.m_tokens) <=
+               *request.m_max_memory_use;
+}
+
+/** Keeps the first upstreams, those that this instance knows to have the
+ *  prefix, and a few others at random.
+ *  @pre the candidates are sorted by weight */
+void upstream_pool::keep_sample(std::vector<candidate>& candidates,
+                                placement_request const& request,
+                                time_point now)
+{
+    std::size_t const homes = m_options.m_home_candidates;
+    std::size_t const size = homes + m_options.m_random_candidates;
+    if (candidates.size() <= size)
+    {
+        return;
+    }
+    auto const stays = [&](candidate const& option)
+    {
+        entry const& item = *option.m_entry;
+        return option.m_rank < homes ||
+               (request.m_prefix != 0 &&
+                item.m_prefix_index.contains(request.m_prefix)) ||
+               m_rates.wants_answer(item.m_record.m_id, now);
+    };
+    auto const others =
+        std::partition(candidates.begin(), candidates.end(), stays);
+    auto kept = others;
+    for (std::size_t i = 0;
+         i < m_options.m_random_candidates && kept != candidates.end(); ++i)
+    {
+        auto const left =
+            static_cast<std::uint64_t>(std::distance(kept, candidates.end()));
+        std::iter_swap(kept,
+                       kept + static_cast<std::ptrdiff_t>(m_random() % left));
+        ++kept;
+    }
+    candidates.erase(kept, candidates.end());
+}
+
+std::size_t
+upstream_pool::choose_cheapest(std::vector<candidate> const& candidates,
+                               placement_request const& request,
+                               time_point now) const
+{
+    std::size_t chosen = 0;
+    duration min_cost = duration::max();
+    for (std::size_t i = 0; i < candidates.size(); ++i)
+    {
+        candidate const& option = candidates[i];
+        // Without a request, the end of a request rate limit remains unknown.
+        duration const estimate =
+            m_rates.wants_answer(option.m_entry->m_record.m_id, now)
+                ? duration::zero()
+                : cost(*option.m_entry, request, option.m_rank, now);
+        if (estimate < min_cost)
+        {
+            min_cost = estimate;
+            chosen = i;
+        }
+    }
+    return chosen;
+}
+
+double upstream_pool::mean_use(std::vector<candidate> const& candidates,
+                               placement_request const& request) const
+{
+    double sum = 0;
+    for (candidate const& option : candidates)
+    {
+        sum += occupancy(*option.m_entry, request);
+    }
+    return sum / static_cast<double>(candidates.size());
+}
+
+std::size_t upstream_pool::choose_sampled(std::vector<candidate> const& sample,
+                                          placement_request const& request,
+                                          double usual_use, time_point now)
+{
+    std::vector<sampled_upstream> options;
+    options.reserve(sample.size());
+    for (candidate const& option : sample)
+    {
+        entry const& item = *option.m_entry;
+        options.push_back({m_rates.wants_answer(item.m_record.m_id, now)
+                               ? duration::zero()
+                               : fixed_cost(item, request, option.m_rank, now),
+                           occupancy(item, request)});
+    }
+    return choose_from_sample(options, usual_use, m_random);
+}
+
+/** @return whether the part of this instance in the free memory of the engines
+ *          suffices for the request. */
+bool upstream_pool::take_room(std::vector<candidate> const& candidates,
+                              placement_request const& request, time_point now)
+{
+    if (!request.m_max_memory_use)
+    {
+        return true;
+    }
+    double const limit = *request.m_max_memory_use *
+                         static_cast<double>(request.m_capacity.value());
+    double free = 0;
+    for (candidate const& option : candidates)
+    {
+        entry const& item = *option.m_entry;
+        free += std::max(0.0, limit - static_cast<double>(item.m_tokens +
+                                                          item.m_peer_tokens));
+    }
+    room_share& share = m_room_shares[request.m_service];
+    share.set_fleet(m_instances, m_news_age);
+    return share.take(*request.m_max_memory_use, request.m_tokens,
+                      token_count(static_cast<std::int64_t>(free)), now);
+}
+
+void upstream_pool::set_sampled(std::int64_t instances, duration news_age)
+{
+    m_sampled = true;
+    m_instances = instances;
+    m_news_age = news_age;
+}
+
+void upstream_pool::set_capacity(service_id const& service,
+                                 token_count capacity)
+{
+    m_capacities[service] = capacity;
+}
+
+token_count upstream_pool::capacity_of(service_id const& service) const
+{
+    auto const found = m_capacities.find(service);
+    return found == m_capacities.end() ? token_count() : found->second;
+}
+
 void upstream_pool::touch_prefix(entry& item, std::uint64_t prefix) const
 {
     auto const found = item.m_prefix_index.find(prefix);
@@ -701,7 +854,10 @@
     {
         double const min_requests =
             min_share * static_cast<double>(item.m_record.m_slots);
-        if (static_cast<double>(item.requests()) < min_requests)
+        double const memory = memory_use(
+            item, capacity_of(item.m_record.m_service), token_count());
+        if (static_cast<double>(item.requests()) < min_requests &&
+            memory < min_share)
         {
             continue;
         }
