Fix: [Serving] one of several KV cache stores was used

Cause: the last KV cache store of the configuration got all transfers; deployments have up to six.

Change: kv_store_set chooses the store by the hash of the prefix among those that answer; the news carries the state of each (earlier builds read and send that of the last one).

--- a/include/daisylead/serving/catalog_index_base.hpp
+++ b/include/daisylead/serving/catalog_index_base.hpp
@@ -37,12 +37,6 @@
     std::vector<request_class> const&
     classes_of(service_id const& service) const;
 
-    /** @return address of the KV cache store, or empty. */
-    std::string const& kv_store() const
-    {
-        return m_kv_store;
-    }
-
     catalog const& content() const
     {
         return m_content;
@@ -62,7 +56,6 @@
         m_by_key;
     std::unordered_map<service_id, service const*> m_by_service;
     std::unordered_map<service_id, std::vector<request_class>> m_classes;
-    std::string m_kv_store;
 };
 
 } // namespace daisylead::serving
--- a/include/daisylead/serving/fleet_news_type.hpp
+++ b/include/daisylead/serving/fleet_news_type.hpp
@@ -3,6 +3,7 @@
 
 #include <daisylead/request/part_quarantine_base.hpp>
 #include <daisylead/request/quarantine_base.hpp>
+#include <daisylead/serving/kv_store_set_base.hpp>
 #include <daisylead/serving/quota_limiter_base.hpp>
 #include <daisylead/serving/stream_registry_base.hpp>
 #include <daisylead/serving/upstream_pool_base.hpp>
@@ -187,11 +188,14 @@
     /** Streams that have begun at some instance, while the upstreams of their
      *  service have several software versions; since the last message. */
     std::vector<begun_stream> m_begun_streams;
-    /** Changes when the KV cache store restarts. */
+    /** KV cache stores that answered. */
+    std::vector<kv_store_report> m_kv_stores;
+    /** For builds that know only one KV cache store, the last one of the
+     *  configuration: changes when it restarts. */
     std::int64_t m_kv_store_epoch = 0;
-    /** Since the store last answered. */
+    /** Since that store last answered. */
     std::optional<std::int64_t> m_kv_store_age_ms;
-    /** Hashes of prefixes saved in the KV cache store. */
+    /** Prefixes saved in the KV cache stores, see kv_store_set::save_key(). */
     std::vector<std::uint64_t> m_saved;
     bool m_wants_members = false;            ///< reply with m_members
     bool m_wants_rules = false;              ///< reply with m_rules_document
--- a/src/entry/fleet_exchange.cpp
+++ b/src/entry/fleet_exchange.cpp
@@ -167,13 +167,7 @@
     {
         news.m_blocked_parts = m_state.m_part_quarantine.blocked_parts();
     }
-    news.m_kv_store_epoch = m_state.m_kv_store_epoch;
-    if (m_state.m_kv_store_answered_at)
-    {
-        news.m_kv_store_age_ms = std::chrono::ceil<std::chrono::milliseconds>(
-                                     now - *m_state.m_kv_store_answered_at)
-                                     .count();
-    }
+    m_state.add_kv_stores(news, now);
     news.m_weights_token = m_state.m_weights_token;
     news.m_weights_number = m_state.m_weights_number;
     if (peer != nullptr)
@@ -489,12 +483,7 @@
     {
         m_state.apply_software_news(*reply.m_software, sent_at);
     }
-    if (reply.m_kv_store_age_ms)
-    {
-        m_state.note_kv_store(
-            reply.m_kv_store_epoch,
-            sent_at - std::chrono::milliseconds(*reply.m_kv_store_age_ms));
-    }
+    m_state.apply_kv_stores(reply, sent_at);
     wanted_parts const wanted = apply_documents(reply, sent_at);
     if (wanted.m_rules || wanted.m_upstreams)
     {
--- a/src/entry/fleet_state.cpp
+++ b/src/entry/fleet_state.cpp
@@ -147,8 +147,8 @@
                  settings.m_retry_window}),
       m_quarantine({quarantine_period}), m_part_quarantine({}),
       m_roster({}, self_as_member(settings, started), boot_time()),
-      m_store_era_since(boot_time()), m_executor(executor),
-      m_started(boot_time()), m_saved(max_saved_prefixes)
+      m_store_era_since(boot_time()), m_kv_stores(kv_store_silent_after),
+      m_executor(executor), m_started(boot_time()), m_saved(max_saved_prefixes)
 {
 }
 
@@ -272,10 +272,16 @@
     {
         m_quotas.set_limit(owner.m_id, {owner.m_rate, owner.m_burst}, now);
     }
+    std::vector<std::string> kv_stores;
     for (serving::service const& item : catalog.m_services)
     {
         m_upstream_pool.set_capacity(item.m_id, item.m_capacity);
+        if (!item.m_kv_store.empty())
+        {
+            kv_stores.push_back(item.m_kv_store);
+        }
     }
+    m_kv_stores.set_stores(std::move(kv_stores));
     m_catalog =
         std::make_shared<serving::catalog_index const>(std::move(catalog));
 }
@@ -977,40 +983,62 @@
     }
 }
 
-void fleet_state::note_kv_store(std::int64_t epoch, time_point answered_at)
+void fleet_state::note_kv_store(std::string const& address, std::int64_t epoch,
+                                time_point answered_at)
 {
-    if (m_kv_store_answered_at && answered_at <= *m_kv_store_answered_at)
-    {
-        return;
-    }
-    if (epoch != m_kv_store_epoch)
+    if (m_kv_stores.note_answer(address, epoch, answered_at))
     {
-        telemetry::log(severity::info, "kv_store_epoch", {{"epoch", epoch}});
-        m_kv_store_epoch = epoch;
-        m_saved =
-            request::lru_map<std::uint64_t, time_point>(max_saved_prefixes);
+        telemetry::log(severity::info, "kv_store_reached",
+                       {{"store", address}, {"epoch", epoch}});
     }
-    if (!m_kv_store_answered_at)
+}
+
+void fleet_state::note_kv_store_silent(std::string const& address)
+{
+    if (m_kv_stores.note_silent(address))
     {
-        telemetry::log(severity::info, "kv_store_reached", {});
+        telemetry::log(severity::warning, "kv_store_lost",
+                       {{"store", address}});
     }
-    m_kv_store_answered_at = answered_at;
 }
 
-void fleet_state::note_kv_store_silent()
+void fleet_state::add_kv_stores(serving::fleet_news& news, time_point now) const
 {
-    if (m_kv_store_answered_at)
+    news.m_kv_stores = m_kv_stores.report(now);
+    if (m_kv_stores.stores().empty())
     {
-        telemetry::log(severity::warning, "kv_store_lost", {});
-        m_kv_store_answered_at.reset();
+        return;
+    }
+    std::string const& last = m_kv_stores.stores().back();
+    for (serving::kv_store_report const& item : news.m_kv_stores)
+    {
+        if (item.m_address == last)
+        {
+            news.m_kv_store_epoch = item.m_epoch;
+            news.m_kv_store_age_ms = item.m_age_ms;
+        }
     }
 }
 
-bool fleet_state::is_kv_store_up(time_point now) const
+void fleet_state::apply_kv_stores(serving::fleet_news const& news,
+                                  time_point sent_at)
 {
-    return m_kv_store_answered_at &&
-           now - *m_kv_store_answered_at < kv_store_silent_after && m_catalog &&
-           !m_catalog->kv_store().empty();
+    auto const& stores = m_kv_stores.stores();
+    for (serving::kv_store_report const& item : news.m_kv_stores)
+    {
+        if (std::find(stores.begin(), stores.end(), item.m_address) !=
+            stores.end())
+        {
+            note_kv_store(item.m_address, item.m_epoch,
+                          sent_at - std::chrono::milliseconds(item.m_age_ms));
+        }
+    }
+    if (news.m_kv_stores.empty() && news.m_kv_store_age_ms && !stores.empty())
+    {
+        note_kv_store(stores.back(), news.m_kv_store_epoch,
+                      sent_at -
+                          std::chrono::milliseconds(*news.m_kv_store_age_ms));
+    }
 }
 
 bool fleet_state::claim_prefix_save(std::uint64_t prefix)
--- a/src/entry/fleet_state.hpp
+++ b/src/entry/fleet_state.hpp
@@ -190,16 +190,22 @@
     /** Applies what a peer knows of the era of the store. */
     void apply_store_era(serving::fleet_news const& news);
 
-    /** The KV cache store answered at @p answered_at. */
-    void note_kv_store(std::int64_t epoch, time_point answered_at);
+    /** A KV cache store answered at @p answered_at. */
+    void note_kv_store(std::string const& address, std::int64_t epoch,
+                       time_point answered_at);
 
-    /** The KV cache store did not answer. */
-    void note_kv_store_silent();
+    /** A KV cache store did not answer. */
+    void note_kv_store_silent(std::string const& address);
 
-    /** @return whether the KV cache store can be used. */
-    bool is_kv_store_up(time_point now) const;
+    /** Adds the state of the KV cache stores to news. */
+    void add_kv_stores(serving::fleet_news& news, time_point now) const;
 
-    /** Marks a prefix as saved to the KV cache store, here and at the peers.
+    /** Applies what a peer knows of the KV cache stores.
+     *  @param sent_at when this instance sent the call that they reply to */
+    void apply_kv_stores(serving::fleet_news const& news, time_point sent_at);
+
+    /** Marks a prefix as saved to a KV cache store, here and at the peers.
+     *  @param prefix see kv_store_set::save_key()
      *  @return whether it was not marked before, so that the caller must
      *  save it */
     bool claim_prefix_save(std::uint64_t prefix);
@@ -237,8 +243,7 @@
     time_point m_store_era_since;
     /** When this instance learnt that the store came back from a copy. */
     std::optional<time_point> m_store_restored_at;
-    std::int64_t m_kv_store_epoch = 0;
-    std::optional<time_point> m_kv_store_answered_at; ///< empty: down
+    serving::kv_store_set m_kv_stores;
     std::function<void()> m_on_urgent_news; ///< sends news immediately
     std::function<void()> m_on_upstreams;   ///< a list was read or confirmed
     bool m_draining = false;
@@ -257,7 +262,7 @@
     time_point m_started; ///< start of this process
     /** News of weights by the holder of the order lease, by engine. */
     std::map<upstream_id, serving::numbered_weights> m_weights;
-    /** Prefixes saved to the KV cache store, with the time of the save. */
+    /** Prefixes saved to the KV cache stores, with the time of the save. */
     request::lru_map<std::uint64_t, time_point> m_saved;
     std::map<service_id, serving::path_monitor> m_paths;
     double rate_share(upstream_id const& id, double per_second,
--- a/src/entry/request_attempt.cpp
+++ b/src/entry/request_attempt.cpp
@@ -86,7 +86,26 @@
     return scope;
 }
 
-bool request_runner::wants_save(std::string const& scope)
+void request_runner::set_kv_transfers(upstream_call& call)
+{
+    if (m_prefix_tokens.value() < min_fetch_tokens)
+    {
+        return;
+    }
+    auto const store = m_state.m_kv_stores.choose(m_prefix, boot_time());
+    if (!store)
+    {
+        return;
+    }
+    call.m_fetch_from = *store;
+    if (wants_save(call.m_cache_scope, *store))
+    {
+        call.m_save_to = *store;
+    }
+}
+
+bool request_runner::wants_save(std::string const& scope,
+                                std::string const& store)
 {
     // Each leading prefix is claimed separately: a new prefix often starts with
     // parts that are already saved, and a saved first part helps other prompts.
@@ -96,7 +115,9 @@
     {
         std::string const& part = m_description.m_parts[i].m_id;
         prefix = XXH64(part.data(), part.size(), prefix);
-        unsaved = m_state.claim_prefix_save(prefix) || unsaved;
+        unsaved = m_state.claim_prefix_save(
+                      m_state.m_kv_stores.save_key(store, prefix)) ||
+                  unsaved;
     }
     return unsaved;
 }
@@ -116,15 +137,7 @@
         call.m_weights = place.m_weights;
         call.m_cache_scope = cache_scope(place.m_weights);
         call.m_urgency = std::clamp(m_priority, 0, 9);
-        if (m_prefix_tokens.value() >= min_fetch_tokens &&
-            m_state.is_kv_store_up(boot_time()))
-        {
-            call.m_fetch_from = m_catalog->kv_store();
-            if (wants_save(call.m_cache_scope))
-            {
-                call.m_save_to = m_catalog->kv_store();
-            }
-        }
+        set_kv_transfers(call);
     }
     call.m_last_event = m_splitter.last_id();
     m_state.m_adapter.m_set_upstream_fields(copy, call);
--- a/src/entry/request_runner.hpp
+++ b/src/entry/request_runner.hpp
@@ -106,7 +106,8 @@
     make_upstream_request(serving::placement const& place,
                           std::chrono::milliseconds left);
     std::string cache_scope(std::int64_t weights) const;
-    bool wants_save(std::string const& scope);
+    void set_kv_transfers(upstream_call& call);
+    bool wants_save(std::string const& scope, std::string const& store);
     std::chrono::milliseconds time_left() const;
     duration suggested_retry_delay() const;
     awaitable<void> refuse(refusal const& reason);
--- a/src/entry/store_poller.cpp
+++ b/src/entry/store_poller.cpp
@@ -58,6 +58,12 @@
 /** Interval of checks of the age of its last answer. */
 constexpr std::chrono::milliseconds kv_poll_interval = 150ms;
 
+/** Max. KV cache stores that are used. */
+constexpr std::size_t max_kv_stores = 8;
+
+/** Interval of checks whether a further KV cache store is configured. */
+constexpr std::chrono::milliseconds kv_absent_interval = 1s;
+
 /** Delay after the KV cache store did not answer. */
 constexpr std::chrono::milliseconds kv_retry_delay = 400ms;
 
@@ -110,7 +116,11 @@
     keep_running(m_executor, "rules", [this] { return rules_loop(); });
     keep_running(m_executor, "upstreams", [this] { return upstreams_loop(); });
     keep_running(m_executor, "members", [this] { return members_loop(); });
-    keep_running(m_executor, "kv_store", [this] { return kv_store_loop(); });
+    for (std::size_t i = 0; i < max_kv_stores; ++i)
+    {
+        keep_running(m_executor, "kv_store",
+                     [this, i] { return kv_store_loop(i); });
+    }
     keep_running(m_executor, "blocked_parts",
                  [this] { return blocked_parts_loop(); });
 }
@@ -301,25 +311,30 @@
     }
 }
 
-awaitable<void> store_poller::kv_store_loop()
+awaitable<void> store_poller::kv_store_loop(std::size_t index)
 {
     std::uint64_t since = 0;
     for (;;)
     {
         time_point const now = boot_time();
-        bool const has_store =
-            m_state.m_catalog && !m_state.m_catalog->kv_store().empty();
+        auto const& stores = m_state.m_kv_stores.stores();
+        if (index >= stores.size())
+        {
+            co_await pause(m_executor, kv_absent_interval);
+            continue;
+        }
+        std::string const address = stores[index];
+        auto const answered = m_state.m_kv_stores.answered_at(address);
         bool const is_fresh =
-            m_state.m_kv_store_answered_at &&
-            now - *m_state.m_kv_store_answered_at <
+            answered &&
+            now - *answered <
                 kv_watch_interval +
                     kv_rank_step * static_cast<int>(m_state.m_roster.rank(now));
-        if (!has_store || is_fresh)
+        if (is_fresh)
         {
             co_await pause(m_executor, kv_poll_interval);
             continue;
         }
-        std::string const address = m_state.m_catalog->kv_store();
         std::optional<kv_store_state> const state =
             co_await m_state.m_adapter.m_watch_kv_store(address, since);
         if (state)
@@ -327,11 +342,11 @@
             since = state->m_next;
             // A long poll: the answer proves that the store was up when the
             // call ended, not when it started.
-            m_state.note_kv_store(state->m_epoch, boot_time());
+            m_state.note_kv_store(address, state->m_epoch, boot_time());
         }
         else
         {
-            m_state.note_kv_store_silent();
+            m_state.note_kv_store_silent(address);
             co_await pause(m_executor, kv_retry_delay);
         }
     }
--- a/src/entry/store_poller.hpp
+++ b/src/entry/store_poller.hpp
@@ -32,7 +32,7 @@
     awaitable<void> blocked_parts_loop();
     awaitable<void> store_blocked_parts();
     awaitable<void> erase_unblocked_parts();
-    awaitable<void> kv_store_loop();
+    awaitable<void> kv_store_loop(std::size_t index);
     duration read_due_age(time_point now) const;
     std::chrono::milliseconds read_retry_delay(time_point now) const;
     std::chrono::milliseconds absent_retry_delay() const;
--- a/src/peer/codec.cpp
+++ b/src/peer/codec.cpp
@@ -623,6 +623,13 @@
     {
         encode_changes(*body.m_upstream_changes, item.initUpstreamChanges());
     }
+    auto kv_stores = item.initKvStores(size_of(body.m_kv_stores));
+    for (unsigned i = 0; i < size_of(body.m_kv_stores); ++i)
+    {
+        kv_stores[i].setAddress(to_text(body.m_kv_stores[i].m_address));
+        kv_stores[i].setEpoch(body.m_kv_stores[i].m_epoch);
+        kv_stores[i].setAgeMs(body.m_kv_stores[i].m_age_ms);
+    }
     item.setKvStoreEpoch(body.m_kv_store_epoch);
     item.setKvStoreAgeMs(body.m_kv_store_age_ms.value_or(-1));
     auto named = item.initNamed(size_of(body.m_named));
@@ -1042,6 +1049,12 @@
     {
         body.m_upstream_changes = decode_changes(item.getUpstreamChanges());
     }
+    for (auto const entry : item.getKvStores())
+    {
+        body.m_kv_stores.push_back(
+            {from_text(entry.getAddress()), entry.getEpoch(),
+             std::max<std::int64_t>(0, entry.getAgeMs())});
+    }
     body.m_kv_store_epoch = item.getKvStoreEpoch();
     if (item.getKvStoreAgeMs() >= 0)
     {
--- a/src/peer/peer.capnp
+++ b/src/peer/peer.capnp
@@ -164,6 +164,12 @@
   lastUsedAgeMs @2 :Int64;
 }
 
+struct KvStore {
+  address @0 :Text;
+  epoch @1 :Int64;
+  ageMs @2 :Int64;
+}
+
 # Ages at the time of sending. A negative first one says that nothing is known.
 struct SoftwareReport {
   sinceAgeMs @0 :Int64 = -1;
@@ -308,4 +314,5 @@
   begunStreams @35 :List(BegunStream);
   storeEra @36 :UInt64;
   storeEraAgeMs @37 :Int64 = -1;
+  kvStores @38 :List(KvStore);
 }
--- a/src/serving/catalog_index.cpp
+++ b/src/serving/catalog_index.cpp
@@ -55,10 +55,6 @@
         {
             m_classes.emplace(item.m_id, request_classes(m_content, item.m_id));
         }
-        if (!item.m_kv_store.empty())
-        {
-            m_kv_store = item.m_kv_store;
-        }
     }
 }
 
