Fix: [Entry] callers that do not finish their requests filled memory and descriptors

Cause: each body had a bound, all together had none, and a body was held twice while it was sent on. Nothing bounded the connections of callers.

A request reserves before it is read; short of room its reading pauses, and one without progress is closed. The connections are bounded by the descriptors; the one idle for longest is closed for a new one. The body is shared by the attempts and not copied. New settings [limits] memory_mb, descriptors and caller_memory_percent, filled from the platform's fields.

Answers of upstreams and messages of peers are not charged yet.

--- a/include/daisylead/config/entry_settings_type.hpp
+++ b/include/daisylead/config/entry_settings_type.hpp
@@ -40,7 +40,14 @@
     milliseconds m_retry_window{10000}; ///< [bounds] retry_window_s
     milliseconds m_grace{8000};         ///< [bounds] grace_s
     std::int64_t m_load_percent = 16;   ///< [orders] load_percent
-    std::string m_log_level = "info";   ///< [log] level
+    /** [limits] memory_mb of this machine; 0: as the system states it. */
+    std::int64_t m_memory_mb = 0;
+    /** [limits] descriptors of this machine; 0: as the system states them. */
+    std::int64_t m_descriptors = 0;
+    /** [limits] caller_memory_percent: part of the memory that requests of
+     *  callers may hold. */
+    std::int64_t m_caller_memory_percent = 25;
+    std::string m_log_level = "info"; ///< [log] level
 };
 
 } // namespace daisylead::config
--- a/src/config/entry_settings.cpp
+++ b/src/config/entry_settings.cpp
@@ -17,6 +17,8 @@
 constexpr value_range window_range{1, 600};        ///< s
 constexpr value_range extra_range{0, 1000000};     ///< sends
 constexpr value_range percent_range{1, 100};       ///< percent
+constexpr value_range memory_range{1, 16777216};   ///< MB
+constexpr value_range descriptor_range{1, 16777216};
 constexpr double max_ratio = 10;  ///< repeated sends per request
 constexpr double max_size = 1000; ///< cores
 
@@ -32,6 +34,7 @@
         read_store();
         read_peers();
         read_bounds();
+        read_limits();
         read_log();
         report_unknown_sections();
         m_findings.throw_if_any();
@@ -129,6 +132,19 @@
         orders.finish();
     }
 
+    void read_limits()
+    {
+        table_reader reader = section("limits");
+        m_result.m_memory_mb =
+            reader.number("memory_mb", m_result.m_memory_mb, memory_range);
+        m_result.m_descriptors = reader.number(
+            "descriptors", m_result.m_descriptors, descriptor_range);
+        m_result.m_caller_memory_percent =
+            reader.number("caller_memory_percent",
+                          m_result.m_caller_memory_percent, percent_range);
+        reader.finish();
+    }
+
     /** Reads a fraction, which is written in quotes. */
     static void read_fraction(table_reader& reader, char const* key,
                               double most, double& result)
--- a/src/config/rendered_settings.cpp
+++ b/src/config/rendered_settings.cpp
@@ -36,6 +36,7 @@
 constexpr std::int64_t most_extra = 1000000;
 constexpr double most_ratio = 10;
 constexpr double most_size = 1000;
+constexpr std::int64_t most_limit = 16777216;
 
 constexpr std::array number_rules{
     number_rule{"store", "timeout_ms", {10, most_ms}, rounding::down},
@@ -51,7 +52,10 @@
     number_rule{"bounds", "retry_extra", {0, most_extra}, rounding::down},
     number_rule{"bounds", "retry_window_s", {1, most_window_s}, rounding::up},
     number_rule{"bounds", "grace_s", {1, most_window_s}, rounding::down},
-    number_rule{"orders", "load_percent", {1, 100}, rounding::down}};
+    number_rule{"orders", "load_percent", {1, 100}, rounding::down},
+    number_rule{"limits", "memory_mb", {1, most_limit}, rounding::down},
+    number_rule{"limits", "descriptors", {1, most_limit}, rounding::down},
+    number_rule{"limits", "caller_memory_percent", {1, 100}, rounding::down}};
 
 /** Other keys, which are read as they are. */
 struct known_key
--- a/src/entry/caller_server.cpp
+++ b/src/entry/caller_server.cpp
@@ -5,6 +5,7 @@
 #include "pause_func.hpp"
 
 #include <daisylead/base/error_type.hpp>
+#include <daisylead/entry/boot_time_func.hpp>
 #include <daisylead/telemetry/log_func.hpp>
 
 #include <boost/asio/redirect_error.hpp>
@@ -38,6 +39,13 @@
  *  deadline. */
 constexpr std::chrono::milliseconds body_timeout = 15s;
 
+/** Size of the first read on an idle connection; most requests fit. */
+constexpr std::size_t first_read_size = 4096;
+
+/** Free capacity that a body in chunks has at each read, bytes; more than one
+ *  read brings. */
+constexpr std::size_t body_step = 131072;
+
 /** @return status and text of the answer to a request that cannot be parsed. */
 std::pair<int, std::string> parse_error_answer(beast::error_code const& failure)
 {
@@ -120,10 +128,11 @@
                              std::string const& address, fleet_state& state,
                              upstream_connector& connector,
                              silence_detector& silence, crash_detector& crashes,
-                             stream_directory& streams)
+                             stream_directory& streams, caller_bounds bounds)
     : m_executor(executor), m_acceptor(make_acceptor(executor, address)),
       m_state(state), m_connector(connector), m_silence_detector(silence),
-      m_crash_detector(crashes), m_streams(streams)
+      m_crash_detector(crashes), m_streams(streams),
+      m_limiter(executor, state.m_metrics, bounds)
 {
 }
 
@@ -148,106 +157,193 @@
             continue;
         }
         auto caller = std::make_shared<caller_connection>(std::move(socket));
+        auto slot = m_limiter.admit(caller);
+        if (!slot)
+        {
+            caller->abort();
+            continue;
+        }
         run_once(m_executor, "caller",
-                 [this, caller] { return serve(caller); });
+                 [this, caller, slot = std::move(slot)]
+                 { return serve(caller, slot); });
     }
 }
 
-awaitable<void> caller_server::serve(std::shared_ptr<caller_connection> caller)
+awaitable<bool>
+caller_server::wait_for_request(std::shared_ptr<caller_connection> caller,
+                                std::chrono::milliseconds timeout)
 {
     beast::tcp_stream& stream = caller->stream();
     beast::flat_buffer& buffer = caller->buffer();
-    bool open = true;
-    while (open)
+    for (;;)
     {
-        serving::caller_limits const limits =
-            m_state.m_catalog ? m_state.m_catalog->content().m_limits
-                              : serving::caller_limits{};
+        // The buffer of a large request is not kept between requests.
+        buffer.shrink_to_fit();
         beast::error_code failure;
-        if (buffer.size() == 0)
+        stream.expires_after(timeout);
+        m_idle.insert(caller);
+        std::size_t const size = co_await stream.async_read_some(
+            buffer.prepare(first_read_size),
+            asio::redirect_error(asio::use_awaitable, failure));
+        m_idle.erase(caller);
+        buffer.commit(size);
+        // A request that had arrived when the idle connections were closed gets
+        // an answer.
+        beast::error_code ignored;
+        bool const has_arrived = failure == asio::error::operation_aborted &&
+                                 m_closing &&
+                                 stream.socket().available(ignored) > 0;
+        if (!has_arrived)
         {
-            stream.expires_after(limits.m_idle_timeout);
-            m_idle.insert(caller);
-            std::size_t const size = co_await stream.async_read_some(
-                buffer.prepare(4096),
-                asio::redirect_error(asio::use_awaitable, failure));
-            m_idle.erase(caller);
-            buffer.commit(size);
-            // A request that had arrived when the idle connections were closed
-            // gets an answer.
-            beast::error_code ignored;
-            if (failure == asio::error::operation_aborted && m_closing &&
-                stream.socket().available(ignored) > 0)
-            {
-                continue;
-            }
-            if (failure)
-            {
-                break;
-            }
+            co_return !failure;
         }
-        // A request counts as active from its first byte, so that a drain waits
-        // for it.
-        active_count const reading(m_state.m_active_requests);
-        // A header of the permitted size has to fit as well.
-        buffer.max_size(
-            std::max(buffer.size(), limits.m_max_header + max_unparsed_size));
-        http::request_parser<http::string_body> parser;
-        parser.header_limit(static_cast<std::uint32_t>(limits.m_max_header));
-        parser.body_limit(limits.m_max_body);
-        stream.expires_after(limits.m_header_timeout);
-        co_await http::async_read_header(
-            stream, buffer, parser,
+    }
+}
+
+awaitable<caller_server::read_result>
+caller_server::read_request(std::shared_ptr<caller_connection> caller,
+                            request_parser& parser, request_memory& memory)
+{
+    serving::caller_limits const limits = caller_limits();
+    beast::tcp_stream& stream = caller->stream();
+    beast::flat_buffer& buffer = caller->buffer();
+    // A header of the permitted size has to fit as well.
+    buffer.max_size(
+        std::max(buffer.size(), limits.m_max_header + max_unparsed_size));
+    parser.header_limit(static_cast<std::uint32_t>(limits.m_max_header));
+    parser.body_limit(limits.m_max_body);
+    if (!co_await memory.reserve(0))
+    {
+        co_return co_await refuse_for_memory(caller);
+    }
+    beast::error_code failure;
+    stream.expires_after(limits.m_header_timeout);
+    co_await http::async_read_header(
+        stream, buffer, parser,
+        asio::redirect_error(asio::use_awaitable, failure));
+    if (failure)
+    {
+        if (failure == beast::error::timeout ||
+            failure == http::error::end_of_stream ||
+            failure == http::error::partial_message ||
+            failure == asio::error::operation_aborted ||
+            failure == asio::error::connection_reset)
+        {
+            co_return read_result::broken;
+        }
+        auto const [status, text] = parse_error_answer(failure);
+        co_await reject(caller, status, text);
+        co_return read_result::answered;
+    }
+    if (!is_framing_unambiguous(parser.get()))
+    {
+        co_await reject(caller, 400, "the framing is ambiguous");
+        co_return read_result::answered;
+    }
+    if (parser.is_done())
+    {
+        co_return read_result::complete;
+    }
+    if (!co_await memory.reserve(parser.content_length().value_or(0)))
+    {
+        co_return co_await refuse_for_memory(caller);
+    }
+    if (beast::iequals(parser.get()[http::field::expect], "100-continue"))
+    {
+        http::response<http::empty_body> interim(http::status::continue_,
+                                                 parser.get().version());
+        co_await http::async_write(
+            stream, interim,
             asio::redirect_error(asio::use_awaitable, failure));
-        if (failure)
+    }
+    co_return failure ? read_result::broken
+                      : co_await read_body(caller, parser, memory);
+}
+
+awaitable<caller_server::read_result>
+caller_server::read_body(std::shared_ptr<caller_connection> caller,
+                         request_parser& parser, request_memory& memory)
+{
+    beast::tcp_stream& stream = caller->stream();
+    std::string& body = parser.get().body();
+    std::size_t const max_body =
+        parser.content_length_remaining() ? 0 : caller_limits().m_max_body;
+    time_point const ends_at = boot_time() + body_timeout;
+    beast::error_code failure;
+    while (!failure && !parser.is_done())
+    {
+        // The size of a body in chunks is known only when it is there.
+        if (max_body > 0 && body.capacity() - body.size() < body_step &&
+            body.capacity() < max_body)
         {
-            if (failure == beast::error::timeout ||
-                failure == http::error::end_of_stream ||
-                failure == http::error::partial_message ||
-                failure == asio::error::connection_reset)
+            std::size_t const capacity =
+                std::min(max_body, std::max(2 * body.capacity(), body_step));
+            // Old and new memory are held while the bytes are moved.
+            if (!co_await memory.reserve(capacity + body.size()))
             {
-                break;
+                co_return co_await refuse_for_memory(caller);
             }
-            auto const [status, text] = parse_error_answer(failure);
-            co_await reject(caller, status, text);
-            break;
+            body.reserve(capacity);
+            co_await memory.reserve(capacity);
         }
-        if (!is_framing_unambiguous(parser.get()))
+        stream.expires_after(std::max<duration>(ends_at - boot_time(), 1ms));
+        co_await http::async_read_some(
+            stream, caller->buffer(), parser,
+            asio::redirect_error(asio::use_awaitable, failure));
+        memory.note_progress();
+    }
+    if (!failure)
+    {
+        co_return read_result::complete;
+    }
+    if (failure == http::error::body_limit ||
+        failure == http::error::bad_chunk ||
+        failure == http::error::bad_chunk_extension)
+    {
+        auto const [status, text] = parse_error_answer(failure);
+        co_await reject(caller, status, text);
+        co_return read_result::answered;
+    }
+    if (failure == http::error::buffer_overflow)
+    {
+        co_await reject(caller, 400, "a line of the chunk framing is too long");
+        co_return read_result::answered;
+    }
+    co_return read_result::broken;
+}
+
+awaitable<caller_server::read_result>
+caller_server::refuse_for_memory(std::shared_ptr<caller_connection> caller)
+{
+    m_state.m_metrics.count("daisylead_memory_refusals_total");
+    co_await reject(caller, 503, "this instance has no memory for the request");
+    co_return read_result::answered;
+}
+
+awaitable<void> caller_server::serve(std::shared_ptr<caller_connection> caller,
+                                     std::shared_ptr<caller_slot> slot)
+{
+    bool open = true;
+    while (open)
+    {
+        slot->set_phase(caller_slot::phase::idle);
+        if (caller->buffer().size() == 0 &&
+            !co_await wait_for_request(caller, caller_limits().m_idle_timeout))
         {
-            co_await reject(caller, 400, "the framing is ambiguous");
             break;
         }
-        if (beast::iequals(parser.get()[http::field::expect], "100-continue"))
-        {
-            http::response<http::empty_body> interim(http::status::continue_,
-                                                     parser.get().version());
-            co_await http::async_write(
-                stream, interim,
-                asio::redirect_error(asio::use_awaitable, failure));
-        }
-        stream.expires_after(body_timeout);
-        if (!failure && !parser.is_done())
-        {
-            co_await http::async_read(
-                stream, buffer, parser,
-                asio::redirect_error(asio::use_awaitable, failure));
-        }
-        if (failure)
+        // A request counts as active from its first byte, so that a drain waits
+        // for it.
+        active_count const reading(m_state.m_active_requests);
+        slot->set_phase(caller_slot::phase::reading);
+        auto const memory = m_limiter.open(slot);
+        request_parser parser;
+        if (co_await read_request(caller, parser, *memory) !=
+            read_result::complete)
         {
-            if (failure == http::error::body_limit ||
-                failure == http::error::bad_chunk ||
-                failure == http::error::bad_chunk_extension)
-            {
-                auto const [status, text] = parse_error_answer(failure);
-                co_await reject(caller, status, text);
-            }
-            else if (failure == http::error::buffer_overflow)
-            {
-                co_await reject(caller, 400,
-                                "a line of the chunk framing is too long");
-            }
             break;
         }
+        memory->note_complete();
         if (m_closing)
         {
             co_await reject(caller, 503, "this instance shuts down");
@@ -261,6 +357,12 @@
     co_await caller->linger_and_close();
 }
 
+serving::caller_limits caller_server::caller_limits() const
+{
+    return m_state.m_catalog ? m_state.m_catalog->content().m_limits
+                             : serving::caller_limits{};
+}
+
 void caller_server::close_idle()
 {
     m_closing = true;
--- a/src/entry/caller_server.hpp
+++ b/src/entry/caller_server.hpp
@@ -1,6 +1,7 @@
 /** @file Servers for callers and for checks. */
 #pragma once
 
+#include "caller_limiter.hpp"
 #include "request_runner.hpp"
 
 #include <set>
@@ -16,7 +17,8 @@
     caller_server(asio::any_io_executor const& executor,
                   std::string const& address, fleet_state& state,
                   upstream_connector& connector, silence_detector& silence,
-                  crash_detector& crashes, stream_directory& streams);
+                  crash_detector& crashes, stream_directory& streams,
+                  caller_bounds bounds);
 
     /** Starts to accept. */
     void start();
@@ -27,7 +29,31 @@
 
 private:
     awaitable<void> accept_loop();
-    awaitable<void> serve(std::shared_ptr<caller_connection> caller);
+    /** How the reading of a request ended. */
+    enum class read_result
+    {
+        complete, ///< the request was read
+        answered, ///< it was refused; the connection must be closed
+        broken    ///< the connection ended
+    };
+
+    using request_parser = http::request_parser<http::string_body>;
+
+    serving::caller_limits caller_limits() const;
+    awaitable<void> serve(std::shared_ptr<caller_connection> caller,
+                          std::shared_ptr<caller_slot> slot);
+    /** Waits for the first bytes of a request on an idle connection.
+     *  @return whether there are any */
+    awaitable<bool> wait_for_request(std::shared_ptr<caller_connection> caller,
+                                     std::chrono::milliseconds timeout);
+    awaitable<read_result>
+    read_request(std::shared_ptr<caller_connection> caller,
+                 request_parser& parser, request_memory& memory);
+    awaitable<read_result> read_body(std::shared_ptr<caller_connection> caller,
+                                     request_parser& parser,
+                                     request_memory& memory);
+    awaitable<read_result>
+    refuse_for_memory(std::shared_ptr<caller_connection> caller);
     awaitable<void> reject(std::shared_ptr<caller_connection> caller,
                            int status, std::string text);
 
@@ -38,6 +64,7 @@
     silence_detector& m_silence_detector;
     crash_detector& m_crash_detector;
     stream_directory& m_streams;
+    caller_limiter m_limiter;
     std::set<std::shared_ptr<caller_connection>> m_idle;
     bool m_closing = false;
 };
--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -75,7 +75,7 @@
                     { return m_store_poller.confirm_upstreams(after); }),
           m_caller_server(context.get_executor(), settings.m_caller_address,
                           m_state, m_connector, m_silence_detector,
-                          m_crash_detector, m_streams),
+                          m_crash_detector, m_streams, bounds_for(settings)),
           m_readiness_server(
               context.get_executor(), settings.m_readiness_address,
               [this](std::string const& path) { return readiness(path); }),
--- a/src/entry/http_caller.cpp
+++ b/src/entry/http_caller.cpp
@@ -3,6 +3,8 @@
 
 #include "http_connection.hpp"
 
+#include <boost/beast/http/empty_body.hpp>
+
 namespace daisylead::entry
 {
 
@@ -32,7 +34,7 @@
         {
             co_return std::nullopt;
         }
-        http::request<http::string_body> message;
+        http::request<http::empty_body> message;
         message.method_string(request.m_method);
         message.target(request.m_target);
         message.version(11);
@@ -44,10 +46,11 @@
         if (!request.m_body.empty())
         {
             message.set(http::field::content_type, "application/json");
-            message.body() = std::move(request.m_body);
         }
-        message.prepare_payload();
-        connection->begin(std::move(message), request.m_timeout);
+        connection->begin(
+            std::move(message.base()),
+            std::make_shared<std::string const>(std::move(request.m_body)),
+            request.m_timeout);
         http_answer answer;
         io_result read_result = co_await connection->read_header();
         if (read_result == io_result::ok)
--- a/src/entry/http_connection.cpp
+++ b/src/entry/http_connection.cpp
@@ -143,10 +143,14 @@
                                           : connect_result::no_tunnel;
 }
 
-void http_connection::begin(http::request<http::string_body> request,
+void http_connection::begin(request_header header,
+                            std::shared_ptr<std::string const> body,
                             std::chrono::milliseconds timeout)
 {
-    m_request.emplace(std::move(request));
+    m_body = std::move(body);
+    m_request.emplace(std::move(header));
+    m_request->body() = {m_body->data(), m_body->size()};
+    m_request->prepare_payload();
     m_parser.reset();
     m_write_started = false;
     m_write_complete = false;
@@ -166,6 +170,8 @@
         m_stream, *m_request,
         asio::redirect_error(asio::use_awaitable, failure));
     m_write_complete = !failure;
+    m_request->body() = {};
+    m_body.reset();
 }
 
 awaitable<io_result> http_connection::read_header()
--- a/src/entry/http_connection.hpp
+++ b/src/entry/http_connection.hpp
@@ -8,6 +8,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/string_body.hpp>
 
 #include <chrono>
@@ -76,8 +77,10 @@
     }
 
     /** Starts a call.
+     *  @param header without the framing of the body
+     *  @param body kept until it is written; may be shared by several calls
      *  @param timeout for the whole call */
-    void begin(http::request<http::string_body> request,
+    void begin(request_header header, std::shared_ptr<std::string const> body,
                std::chrono::milliseconds timeout);
 
     /** Reads the header of the next final answer. */
@@ -145,7 +148,8 @@
     http_route m_way;
     time_point m_connected_at;
     beast::flat_buffer m_buffer{max_unparsed_size};
-    std::optional<http::request<http::string_body>> m_request;
+    std::shared_ptr<std::string const> m_body;
+    std::optional<http::request<http::span_body<char const>>> m_request;
     std::optional<http::response_parser<http::buffer_body>> m_parser;
     bool m_write_started = false;
     bool m_write_complete = false;
--- a/src/entry/request_attempt.cpp
+++ b/src/entry/request_attempt.cpp
@@ -4,6 +4,7 @@
 
 #include <daisylead/telemetry/log_func.hpp>
 
+#include <boost/beast/http/empty_body.hpp>
 #include <xxhash.h>
 
 #include <algorithm>
@@ -101,11 +102,11 @@
     return unsaved;
 }
 
-http::request<http::string_body>
+request_header
 request_runner::make_upstream_request(serving::placement const& place,
                                       std::chrono::milliseconds left)
 {
-    http::request<http::string_body> copy = m_request;
+    http::request<http::empty_body> copy(m_request.base());
     remove_connection_fields(copy);
     upstream_call call;
     call.m_upstream = place.m_upstream.m_id;
@@ -130,8 +131,7 @@
     m_state.m_adapter.m_set_upstream_fields(copy, call);
     copy.version(11);
     copy.keep_alive(true);
-    copy.prepare_payload();
-    return copy;
+    return std::move(copy.base());
 }
 
 /** @return whether an attempt without bytes of an answer may be taken for one
@@ -240,8 +240,7 @@
         m_upstream->abort();
         co_return m_caller->is_gone() ? next_action::done : after_timeout();
     }
-    http::request<http::string_body> message =
-        make_upstream_request(place, left);
+    request_header message = make_upstream_request(place, left);
     ++m_sends;
     times.m_sent = boot_time();
     times.m_outdated_for = m_state.m_upstream_pool.outdated_for(
@@ -254,7 +253,8 @@
     m_state.m_part_quarantine.attempt_begun(
         current_attempt, m_shared_parts,
         {id, incarnation(place.m_upstream.m_started)});
-    m_upstream->begin(std::move(message), left + deadline_answer_margin);
+    m_upstream->begin(std::move(message), m_body,
+                      left + deadline_answer_margin);
 
     m_silence_watch.emplace(
         m_silence_detector,
--- a/src/entry/request_runner.cpp
+++ b/src/entry/request_runner.cpp
@@ -94,7 +94,8 @@
                                http::request<http::string_body> request)
     : m_state(state), m_connector(connector), m_silence_detector(silence),
       m_crash_detector(crashes), m_streams(streams),
-      m_caller(std::move(caller)), m_request(std::move(request))
+      m_caller(std::move(caller)), m_request(std::move(request)),
+      m_body(std::make_shared<std::string const>(std::move(m_request.body())))
 {
 }
 
@@ -439,9 +440,9 @@
 std::optional<request_runner::refusal>
 request_runner::check_quarantine(time_point now)
 {
-    std::string const text = m_description.m_path + '\n' +
-                             std::to_string(XXH64(m_request.body().data(),
-                                                  m_request.body().size(), 0));
+    std::string const text =
+        m_description.m_path + '\n' +
+        std::to_string(XXH64(m_body->data(), m_body->size(), 0));
     m_suspect = {m_owner, text};
     request::quarantine_decision const answer =
         m_state.m_quarantine.check(m_suspect, now);
--- a/src/entry/request_runner.hpp
+++ b/src/entry/request_runner.hpp
@@ -102,9 +102,8 @@
     bool shows_begin() const;
     next_action after_failure(bool ran, std::string const& code);
     next_action after_timeout();
-    http::request<http::string_body>
-    make_upstream_request(serving::placement const& place,
-                          std::chrono::milliseconds left);
+    request_header make_upstream_request(serving::placement const& place,
+                                         std::chrono::milliseconds left);
     std::string cache_scope(std::int64_t weights) const;
     bool wants_save(std::string const& scope);
     std::chrono::milliseconds time_left() const;
@@ -121,7 +120,8 @@
     crash_detector& m_crash_detector;
     stream_directory& m_streams;
     std::shared_ptr<caller_connection> m_caller;
-    http::request<http::string_body> m_request;
+    http::request<http::string_body> m_request; ///< its body is in m_body
+    std::shared_ptr<std::string const> m_body;
     serving::request_description m_description;
     std::shared_ptr<serving::catalog_index const> m_catalog;
     serving::route m_route;
