Fix: [Limits] use was charged twice when relays went and came

Cause, found with fleet_simulation_test (96 instances, an organisation at 0.75 of its limit, a fifth killed and restarted, 59 to 71 of 390 requests refused in 10 s; seeds 1 to 3): children that came back to a restarted relay charged all that it had counted since its start, which they knew from another one; an instance that changed its role compared the sum of a group with that of the fleet (levels down to -5.4 million of 250,000); what had been charged in advance for a removed or silent peer was never returned though others reported that use; and a child called a new relay again only after 2 s. The bucket also refused a part of the requests below half of its size, though the organisation was inside its limit.

Ruled out: the silence timeout and the decay of the expected use alone (56 to 67 refused).

--- a/include/daisylead/serving/quota_limiter_base.hpp
+++ b/include/daisylead/serving/quota_limiter_base.hpp
@@ -45,6 +45,8 @@
     std::int64_t m_instances = 1; ///< instances whose use is included
     /** This instance includes the use in its own reports. */
     bool m_forwards = false;
+    /** The peer reports the use of all other instances. */
+    bool m_covers_fleet = false;
     /** Use that the peer has already reported to another relay; only the rest
      *  is new to the fleet. */
     std::optional<std::vector<quota_use>> m_reported_use;
@@ -133,7 +135,10 @@
         std::int64_t m_forwarded = 0; ///< use by peers that it reports for
         std::int64_t m_peer_use = 0;  ///< use by all peers since the start
         double m_use_rate = 0; ///< expected use by peers, units per second
-        double m_dropped_use_rate = 0;  ///< part of m_use_rate by removed peers
+        double m_dropped_use_rate = 0; ///< part of m_use_rate by removed peers
+        /** Units charged in advance for peers that no longer report; returned
+         *  when other peers report that use. */
+        double m_dropped_charged = 0;
         double m_admitted_fraction = 1; ///< max. fraction of requests admitted
         double m_admission_credit = 0;  ///< sum of fractions; a request costs 1
     };
@@ -154,9 +159,14 @@
         /** Part of m_use that was charged here. */
         std::unordered_map<organisation_id, std::int64_t> m_counted;
         std::unordered_map<organisation_id, expected_use> m_expected_use;
+        /** Units charged because the peer was silent. */
+        std::unordered_map<organisation_id, double> m_silent_charged;
     };
 
     void advance(organisation_id const& owner, bucket& item, time_point now);
+    void return_silent_charge(bucket& item, peer_use& known,
+                              organisation_id const& owner, bool is_new_run);
+    static void return_dropped_charge(bucket& item, double unexpected_units);
     void note_use(bucket& item, peer_use& known, organisation_id const& owner,
                   std::int64_t units) const;
     void note_use_rate(bucket& item, peer_use& known,
@@ -166,6 +176,7 @@
     duration m_silence_timeout;
     duration m_initial_fill_time;
     duration m_news_age{};
+    bool m_had_fleet_report = false; ///< see use_source::m_covers_fleet
     std::vector<quota_use> m_reported_use;
     std::size_t m_expected_instances = 1;
     time_point m_expected_until;
--- a/src/entry/fleet_exchange.cpp
+++ b/src/entry/fleet_exchange.cpp
@@ -342,6 +342,7 @@
         source.m_instances =
             relation == peer_relation::parent ? news.m_fleet - 1 : news.m_group;
         source.m_forwards = in_group;
+        source.m_covers_fleet = relation == peer_relation::parent;
         if (in_group && !news.m_reported_use.m_totals.empty())
         {
             source.m_reported_use = m_state.from_totals(news.m_reported_use);
--- a/src/serving/fleet_roster.cpp
+++ b/src/serving/fleet_roster.cpp
@@ -439,6 +439,8 @@
     peer_state& peer = m_peers.at(news.m_member.m_id);
     m_active[news.m_member.m_id] = &peer;
     peer.m_last_contact = now;
+    // The interval of calls to an unresponsive peer no longer applies.
+    peer.m_next_call = std::min(peer.m_next_call, now + m_options.m_interval);
     peer.m_leaving = news.m_leaving;
     if (peer.m_is_relay && !news.m_is_relay)
     {
--- a/src/serving/quota_limiter.cpp
+++ b/src/serving/quota_limiter.cpp
@@ -27,6 +27,9 @@
 constexpr duration ramp_refill_time = std::chrono::seconds(1);
 constexpr double max_ramp_fraction = 0.5;
 
+/** Part of that range for an organisation that is inside its limit. */
+constexpr double calm_ramp_part = 0.3;
+
 /** Time constants by which the admitted fraction decays while the bucket is
  *  empty and recovers while it is above the ramp, and its lower bound. */
 constexpr duration fraction_decay_time = std::chrono::seconds(1);
@@ -36,6 +39,10 @@
 /** Time constant by which the expected use rate of a removed peer decays. */
 constexpr duration dropped_rate_decay_time = std::chrono::seconds(2);
 
+/** Time constant by which the use of removed peers that others may report
+ *  decays; their instances report to others within about two seconds. */
+constexpr duration dropped_charge_decay_time = std::chrono::seconds(4);
+
 double seconds(duration value)
 {
     return std::chrono::duration<double>(value).count();
@@ -98,7 +105,12 @@
     double short_of = needed - item.m_level;
     if (short_of <= 0 && item.m_use_rate > 0 && m_news_age > duration::zero())
     {
-        double const ramp = ramp_of(item.m_limit);
+        // An organisation that is not known to be over its limit may use more
+        // of the bucket.
+        bool const is_over = item.m_admitted_fraction < 1 ||
+                             item.m_use_rate > item.m_limit.m_rate;
+        double const ramp =
+            ramp_of(item.m_limit) * (is_over ? 1.0 : calm_ramp_part);
         double const fraction =
             ramp > 0 ? std::min(item.m_admitted_fraction, item.m_level / ramp)
                      : 1.0;
@@ -153,8 +165,14 @@
     {
         known.m_use.clear();
     }
+    // What the peer reports first after it has taken another one's place, or
+    // has changed what it reports, is known from others already.
+    bool const is_rebased =
+        (!added && known.m_source.m_covers_fleet != source.m_covers_fleet) ||
+        (source.m_covers_fleet && is_new_run && m_had_fleet_report);
+    m_had_fleet_report = m_had_fleet_report || source.m_covers_fleet;
     known.m_source = {std::max<std::int64_t>(1, source.m_instances),
-                      source.m_forwards, std::nullopt};
+                      source.m_forwards, source.m_covers_fleet, std::nullopt};
     bool const has_told = added && source.m_reported_use;
     if (has_told)
     {
@@ -168,7 +186,7 @@
         advance(owner, item, now);
     }
     duration const since =
-        added ? duration::zero() : now - known.m_last_contact;
+        added || is_rebased ? duration::zero() : now - known.m_last_contact;
     for (auto const& [owner, total] : use)
     {
         std::int64_t& last = known.m_use[owner];
@@ -177,10 +195,16 @@
         {
             bucket& item = limited->second;
             // Use before this bucket was created may be long past.
-            bool const is_charged = !added || has_told ||
-                                    (run.m_uptime < young_peer_uptime &&
-                                     now - run.m_uptime >= item.m_opened);
+            bool const is_charged =
+                !is_rebased && (!added || has_told ||
+                                (run.m_uptime < young_peer_uptime &&
+                                 now - run.m_uptime >= item.m_opened));
             std::int64_t const units = is_charged ? total - last : 0;
+            return_silent_charge(item, known, owner, is_new_run);
+            double const expected_units =
+                known.m_expected_use[owner].m_use_rate * seconds(since);
+            return_dropped_charge(item,
+                                  static_cast<double>(units) - expected_units);
             note_use(item, known, owner, units);
             note_use_rate(item, known, owner, static_cast<double>(units),
                           since);
@@ -191,6 +215,30 @@
     known.m_last_contact = now;
 }
 
+/** The total of a peer that was silent covers the time of its silence. */
+void quota_limiter::return_silent_charge(bucket& item, peer_use& known,
+                                         organisation_id const& owner,
+                                         bool is_new_run)
+{
+    double const charged = std::exchange(known.m_silent_charged[owner], 0);
+    if (is_new_run)
+    {
+        item.m_dropped_charged += charged;
+        return;
+    }
+    item.m_level = std::min(item.m_limit.m_burst, item.m_level + charged);
+}
+
+/** The instances that a removed peer reported for report to other peers, whose
+ *  use grows by that: it was charged already. */
+void quota_limiter::return_dropped_charge(bucket& item, double unexpected_units)
+{
+    double const returned =
+        std::clamp(unexpected_units, 0.0, item.m_dropped_charged);
+    item.m_dropped_charged -= returned;
+    item.m_level = std::min(item.m_limit.m_burst, item.m_level + returned);
+}
+
 void quota_limiter::note_use(bucket& item, peer_use& known,
                              organisation_id const& owner,
                              std::int64_t units) const
@@ -225,13 +273,18 @@
             1 - std::exp(-seconds(since) / seconds(use_rate_window));
         use_rate += (units / seconds(since) - use_rate) * weight;
     }
-    else if (expected.m_use_rate == 0)
+    else if (expected.m_use_rate == 0 && known.m_source.m_instances > 1)
     {
         // The peer takes over the use that a removed peer reported before.
         use_rate = std::exchange(item.m_dropped_use_rate, 0);
         item.m_use_rate -= use_rate;
     }
     use_rate = std::max(0.0, use_rate);
+    // Instances that a removed peer reported for now report to this one.
+    double const taken_over = std::clamp(use_rate - expected.m_use_rate, 0.0,
+                                         item.m_dropped_use_rate);
+    item.m_dropped_use_rate -= taken_over;
+    item.m_use_rate -= taken_over;
     // The estimate is replaced by the reported use plus the use whose report
     // is still in transit.
     double const in_transit = use_rate * seconds(m_news_age);
@@ -266,6 +319,15 @@
         if (limited != m_buckets.end())
         {
             limited->second.m_dropped_use_rate += expected.m_use_rate;
+            limited->second.m_dropped_charged += expected.m_charged;
+        }
+    }
+    for (auto const& [owner, charged] : known->second.m_silent_charged)
+    {
+        auto const limited = m_buckets.find(owner);
+        if (limited != m_buckets.end())
+        {
+            limited->second.m_dropped_charged += charged;
         }
     }
     m_peers.erase(known);
@@ -327,14 +389,17 @@
         refill -= share * static_cast<double>(expected - known) *
                   seconds(std::min(now, m_expected_until) - item.m_updated_at);
     }
-    for (auto const& [id, peer] : m_peers)
+    for (auto& [id, peer] : m_peers)
     {
         time_point const silent_from = std::max(
             peer.m_last_contact + m_silence_timeout, item.m_updated_at);
         if (now > silent_from)
         {
-            refill -= share * static_cast<double>(peer.m_source.m_instances) *
-                      seconds(now - silent_from);
+            double const charged =
+                share * static_cast<double>(peer.m_source.m_instances) *
+                seconds(now - silent_from);
+            peer.m_silent_charged[owner] += charged;
+            refill -= charged;
         }
     }
     double const passed = seconds(now - item.m_updated_at);
@@ -350,6 +415,9 @@
     double const faded =
         item.m_dropped_use_rate *
         (1 - std::exp(-passed / seconds(dropped_rate_decay_time)));
+    item.m_dropped_charged =
+        (item.m_dropped_charged + item.m_dropped_use_rate * passed) *
+        std::exp(-passed / seconds(dropped_charge_decay_time));
     item.m_dropped_use_rate -= faded;
     item.m_use_rate -= faded;
     item.m_level = std::min(item.m_limit.m_burst, item.m_level + refill);
--- a/tests/serving/fleet_simulation_test.cpp
+++ b/tests/serving/fleet_simulation_test.cpp
@@ -336,6 +336,7 @@
                                      ? item.m_news.m_fleet - 1
                                      : item.m_news.m_group;
             source.m_forwards = relation == peer_relation::child;
+            source.m_covers_fleet = relation == peer_relation::parent;
             if (source.m_forwards &&
                 !item.m_news.m_reported_use.m_totals.empty())
             {
@@ -433,6 +434,12 @@
         return m_max;
     }
 
+    /** @return requests refused since the last call, and all of them. */
+    std::pair<int, int> take_refused()
+    {
+        return {std::exchange(m_refused, 0), std::exchange(m_sent, 0)};
+    }
+
     /** @return units admitted since the last call. */
     double take_admitted()
     {
@@ -447,13 +454,18 @@
         {
             int const number = std::uniform_int_distribution<>(
                 0, m_fleet.size() - 1)(m_fleet.m_random);
-            if (m_fleet.is_running(number) &&
-                !m_fleet.at(number).m_limiter.charge(owner, cost,
-                                                     m_fleet.m_now))
+            if (!m_fleet.is_running(number))
+            {
+                continue;
+            }
+            ++m_sent;
+            if (m_fleet.at(number).m_limiter.charge(owner, cost, m_fleet.m_now))
             {
-                m_used.push_back(m_fleet.m_now);
-                m_admitted += cost;
+                ++m_refused;
+                continue;
             }
+            m_used.push_back(m_fleet.m_now);
+            m_admitted += cost;
         }
         while (!m_used.empty() && m_used.front() + 8s <= m_fleet.m_now)
         {
@@ -466,6 +478,8 @@
     simulated_fleet& m_fleet;
     double m_factor;
     double m_due = 0;
+    int m_sent = 0;
+    int m_refused = 0;
     double m_admitted = 0;
     double m_max = 0;
     std::deque<time_point> m_used;
@@ -629,3 +643,78 @@
     }
     CHECK(hot.max_in_8s() <= max_in_window);
 }
+
+TEST_CASE(
+    "use below the limit is hardly refused while a fifth of the instances "
+    "is killed and restarted")
+{
+    // Guards against use that is charged twice when the children of a relay
+    // that was killed report to another one.
+    for (unsigned seed = 1; seed <= 3; ++seed)
+    {
+        CAPTURE(seed);
+        simulated_fleet fleet(96);
+        fleet.m_random.seed(seed);
+        fleet.run(6s);
+        organisation_load modest(fleet, 0.75);
+        fleet.run(10s);
+        modest.take_refused();
+        for (int i = 0; i < fleet.size(); i += 5)
+        {
+            fleet.kill(i);
+        }
+        fleet.run(500ms);
+        for (int i = 0; i < fleet.size(); i += 5)
+        {
+            fleet.restart(i);
+        }
+        fleet.run(10s);
+        auto const [refused, sent] = modest.take_refused();
+        CHECK(refused * 500 < sent);
+        CHECK(modest.max_in_8s() <= max_in_window);
+    }
+}
+
+TEST_CASE("use below the limit is hardly refused in a calm fleet")
+{
+    // Guards against a bucket that refuses a part of the requests before it is
+    // empty, though the organisation never was over its limit.
+    simulated_fleet fleet(96);
+    fleet.run(6s);
+    organisation_load modest(fleet, 0.75);
+    fleet.run(20s);
+    auto const [refused, sent] = modest.take_refused();
+    CHECK(refused * 500 < sent);
+}
+
+TEST_CASE("an organisation far over its limit uses up its refill")
+{
+    // Guards against instances that alternate between admitting and refusing
+    // all, so that a part of the refill is lost.
+    simulated_fleet fleet(96);
+    fleet.run(6s);
+    organisation_load hot(fleet, 6);
+    fleet.run(8s);
+    for (int i = 0; i < 5; ++i)
+    {
+        hot.take_admitted();
+        fleet.run(4s);
+        double const share = hot.take_admitted() / (limit.m_rate * 4);
+        CHECK(share >= 0.9);
+        CHECK(share <= 1.1);
+    }
+    CHECK(hot.max_in_8s() <= max_in_window);
+}
+
+TEST_CASE(
+    "an organisation that goes far over its limit uses up its refill from "
+    "the start")
+{
+    // Guards against use that is charged in advance by a rate that was measured
+    // before the first refusals.
+    simulated_fleet fleet(96);
+    fleet.run(6s);
+    organisation_load hot(fleet, 6);
+    fleet.run(8s);
+    CHECK(hot.take_admitted() >= 0.9 * limit.m_rate * 8);
+}
