--- a/tests/process/caller_crowd_test.cpp
+++ b/tests/process/caller_crowd_test.cpp
@@ -40,14 +40,18 @@
 class small_instance
 {
 public:
-    small_instance()
+    /** @param machine_mb memory of the machine in the settings
+     *  @param bound_mb bound on the memory of the process */
+    explicit small_instance(int machine_mb = memory_mb,
+                            int bound_mb = memory_mb)
+        : m_bound_mb(bound_mb)
     {
         std::ofstream(settings_file())
             << "[instance]\nid = \"entry-1\"\nzone = \"a\"\nregion = \"r\"\n"
             << "[listen]\ncaller = \"" << m_caller << "\"\nreadiness = \""
             << free_address() << "\"\npeer = \"" << free_address()
             << "\"\nmetrics = \"" << m_metrics << "\"\n[store]\naddress = \""
-            << free_address() << "\"\n[limits]\nmemory_mb = " << memory_mb
+            << free_address() << "\"\n[limits]\nmemory_mb = " << machine_mb
             << "\ndescriptors = " << max_descriptors << "\n";
         m_process = std::make_unique<child_process>(
             std::vector<std::string>{std::string(BUILD_DIR) +
@@ -70,7 +74,7 @@
     {
         wait_until_settled();
         CHECK_FALSE(m_process->wait(0ms));
-        CHECK(peak_memory_mb() < memory_mb);
+        CHECK(peak_memory_mb() < m_bound_mb);
         CHECK(open_descriptors() <= max_descriptors);
         http::client_response const answer = fetch(m_caller, "/");
         // Without a store there is no configuration.
@@ -123,6 +127,7 @@
         return 1e9;
     }
 
+    int m_bound_mb;
     temporary_folder m_folder;
     std::string m_caller = free_address();
     std::string m_metrics = free_address();
@@ -312,6 +317,17 @@
     entry.check_alive();
 }
 
+TEST_CASE(
+    "forty callers with large bodies leave a third of a small machine free",
+    "[crowd]")
+{
+    // The memory of the smallest machines, with default limits.
+    small_instance entry(96, 64);
+    crowd callers(entry.caller(), 40);
+    callers.send(unfinished_body(), 65'536);
+    entry.check_alive();
+}
+
 TEST_CASE("a single body of the permitted size is read in calm", "[crowd]")
 {
     small_instance entry;
