Fix: [Entry] what the review of the new parts found

A reader who had not written the parts found, by reading: the zone loads came from the candidates of one request; the credit of a large request was cut by small ones, and room was divided although it was not scarce; each waiting request evicted another one; a connection with unread bytes could be closed; small bodies in chunks counted as large; the bound of connections ignored the memory; charges in advance were returned though they had cost nothing, and twice after a change of role; a balance of minutes ago was applied.

Each is changed as described there. Not changed: the age of the loads of single zones; 503 for a body that can never fit the budget (the least budget is 16 MB now).

--- a/include/daisylead/serving/byte_budget_base.hpp
+++ b/include/daisylead/serving/byte_budget_base.hpp
@@ -18,8 +18,7 @@
     /** Part of the limit that only small requests may use. */
     double m_small_share = 0.125;
     std::size_t m_small_size = 65536; ///< bytes of a small request
-    /** A request that was not read further for this long may have to leave;
-     *  longer than a caller may pause between two segments. */
+    /** A request that was not read further for this long may have to leave. */
     duration m_stalled_after = std::chrono::seconds(1);
 };
 
@@ -30,7 +29,8 @@
 
 /** Bytes that the requests of callers hold. A request reserves what it needs
  *  before it is read. If nothing is left, its reading pauses, and the request
- *  that has made no progress for longest has to leave, unless it is complete.
+ *  that is largest among those without progress has to leave, unless it is
+ *  complete.
  *
  *  Designed for many callers that send nearly all of a large body and stay
  *  connected. */
--- a/include/daisylead/serving/quota_limiter_base.hpp
+++ b/include/daisylead/serving/quota_limiter_base.hpp
@@ -164,6 +164,8 @@
     };
 
     void advance(organisation_id const& owner, bucket& item, time_point now);
+    void drop_expected_use(peer_use& known);
+    void limit_returns(organisation_id const& owner, bucket& item);
     void return_silent_charge(bucket& item, peer_use& known,
                               organisation_id const& owner, bool is_new_run);
     static void return_dropped_charge(bucket& item, double unexpected_units);
--- a/include/daisylead/serving/room_share_base.hpp
+++ b/include/daisylead/serving/room_share_base.hpp
@@ -33,6 +33,10 @@
     struct credit
     {
         double m_tokens = 0;
+        /** Largest request that was refused lately; its credit is kept while
+         *  smaller requests come. */
+        double m_unmet = 0;
+        time_point m_unmet_at;
         time_point m_updated_at;
     };
 
--- a/include/daisylead/serving/sampled_choice_func.hpp
+++ b/include/daisylead/serving/sampled_choice_func.hpp
@@ -23,7 +23,7 @@
  *
  *  Designed for bursts in a fleet that learns late what each instance sends.
  *  @param sample not empty
- *  @param usual_use mean of all upstreams of the service
+ *  @param usual_use mean of the upstreams that can take the request
  *  @param random uniform 64-bit numbers
  *  @return index in the sample */
 std::size_t choose_from_sample(std::vector<sampled_upstream> const& sample,
--- a/include/daisylead/serving/upstream_pool_base.hpp
+++ b/include/daisylead/serving/upstream_pool_base.hpp
@@ -10,6 +10,7 @@
 #include <functional>
 #include <list>
 #include <map>
+#include <optional>
 #include <set>
 #include <unordered_map>
 #include <utility>
@@ -84,6 +85,9 @@
     std::size_t m_home_candidates = 3;
     /** Further ones, drawn anew for each request. */
     std::size_t m_random_candidates = 2;
+    /** Part of the memory up to the room limit below which the free rest is
+     *  divided among the instances. */
+    double m_scarce_room = 0.5;
     /** TTL of the state that an engine is loading; the holder of the order
      *  lease refreshes it. */
     duration m_switching_ttl = std::chrono::milliseconds(1500);
@@ -224,7 +228,8 @@
     /** Sets the memory of one engine of a service; 0: unknown. */
     void set_capacity(service_id const& service, token_count capacity);
 
-    /** Chooses the upstream with the lowest estimated cost. The request counts
+    /** Chooses the upstream with the lowest estimated cost, or in a sample the
+     * cheapest one that is not used more than usual. The request counts
      * as sent to it as far as its request rate limit is concerned. */
     placement place(placement_request const& request, time_point now);
 
@@ -416,10 +421,10 @@
 
     void add_peer_load(peer_load const& load, int sign);
     bool has_room(entry const& item, placement_request const& request) const;
-    void keep_zone(std::vector<candidate>& candidates,
-                   placement_request const& request, time_point now);
-    zone_balance& zone_balance_of(std::vector<candidate> const& candidates,
-                                  placement_request const& request,
+    static void number_candidates(std::vector<candidate>& candidates);
+    double keep_zone(std::vector<candidate>& candidates,
+                     placement_request const& request, time_point now);
+    zone_balance& zone_balance_of(placement_request const& request,
                                   time_point now);
     void keep_sample(std::vector<candidate>& candidates,
                      placement_request const& request, time_point now);
@@ -457,7 +462,8 @@
     std::unordered_map<service_id, token_count> m_capacities;
     bool m_sampled = false;
     std::unordered_map<service_id, room_share> m_room_shares;
-    /** Share of the requests to a service that leaves the zone. */
+    /** How many requests to a service leave the zone, with the time at which
+     *  that was worked out. */
     struct balanced_zone
     {
         zone_balance m_balance;
--- a/include/daisylead/serving/zone_balance_base.hpp
+++ b/include/daisylead/serving/zone_balance_base.hpp
@@ -15,7 +15,7 @@
 /** Upstreams of a service in one availability zone. */
 struct zone_load
 {
-    zone_id m_zone;     ///< the zone
+    zone_id m_zone;     ///< availability zone
     double m_use = 0;   ///< used fraction of the slots or memory there
     double m_slots = 0; ///< slots of the usable upstreams there
 };
@@ -32,7 +32,8 @@
      *  it, so that they do not leave and return by turns. */
     double m_return_use = 0.5;
     /** Growth of the share per second for each unit of use beyond the full
-     *  one, and its decline per second. Slow against the age of the news. */
+     *  one, and its decline per second. A faster change would answer loads that
+     *  the news does not show yet. */
     double m_growth = 1.0;
     double m_decline = 0.25;
     /** Loads that are older count as unknown. */
--- a/src/entry/caller_limiter.cpp
+++ b/src/entry/caller_limiter.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <fstream>
+#include <map>
 #include <set>
 
 #include <sys/resource.h>
@@ -29,9 +30,14 @@
 constexpr double caller_descriptors = 2.0 / 3;
 
 /** Bounds that no setting undercuts: some requests can always be read. */
-constexpr std::size_t min_bytes = 8 << 20;
+constexpr std::size_t min_bytes = 16 << 20;
 constexpr std::size_t min_connections = 16;
 
+/** Part of the memory for the buffers and frames of connections, and what one
+ *  of them takes. */
+constexpr std::size_t connection_memory_divisor = 8;
+constexpr std::size_t connection_size = 16384;
+
 /** Held for each request besides its body: header and parsed fields. */
 constexpr std::size_t request_overhead = 8192;
 
@@ -83,16 +89,20 @@
         settings.m_memory_mb > 0
             ? static_cast<std::size_t>(settings.m_memory_mb) << 20
             : system_memory();
-    std::size_t const descriptors =
-        settings.m_descriptors > 0
-            ? static_cast<std::size_t>(settings.m_descriptors)
-            : system_descriptors();
+    std::size_t descriptors = system_descriptors();
+    if (settings.m_descriptors > 0)
+    {
+        auto const stated = static_cast<std::size_t>(settings.m_descriptors);
+        descriptors = descriptors == 0 ? stated : std::min(descriptors, stated);
+    }
+    std::size_t const connections =
+        std::min(static_cast<std::size_t>(static_cast<double>(descriptors) *
+                                          caller_descriptors),
+                 memory / connection_memory_divisor / connection_size);
     return {std::max(min_bytes, memory / 100 *
                                     static_cast<std::size_t>(
                                         settings.m_caller_memory_percent)),
-            std::max(min_connections,
-                     static_cast<std::size_t>(static_cast<double>(descriptors) *
-                                              caller_descriptors))};
+            std::max(min_connections, connections)};
 }
 
 class caller_limiter::impl
@@ -105,7 +115,7 @@
     {
     }
 
-    /** The metrics are gone from now on. */
+    /** Called when the metrics end, while connections may still be open. */
     void detach()
     {
         m_metrics = nullptr;
@@ -129,6 +139,22 @@
         {
             return true;
         }
+        caller_slot* const oldest = oldest_slot();
+        if (oldest == nullptr)
+        {
+            note_closed("connections_refused");
+            return false;
+        }
+        // Its place is free at once, though its coroutine ends later.
+        m_slots.erase(oldest);
+        close(*oldest, "connections");
+        return true;
+    }
+
+    /** @return the connection without a request in progress, and without bytes
+     *          to be read, that has made no progress for longest. */
+    caller_slot* oldest_slot() const
+    {
         caller_slot* oldest = nullptr;
         for (caller_slot* const slot : m_slots)
         {
@@ -136,25 +162,24 @@
                                   slot->m_phase < oldest->m_phase ||
                                   (slot->m_phase == oldest->m_phase &&
                                    slot->m_since < oldest->m_since);
-            if (slot->m_phase != caller_slot::phase::handling && is_first)
+            if (slot->m_phase != caller_slot::phase::handling && is_first &&
+                !slot->has_input())
             {
                 oldest = slot;
             }
         }
-        if (oldest == nullptr)
-        {
-            note_closed("connections_refused");
-            return false;
-        }
-        // Its place is free at once, though its coroutine ends later.
-        m_slots.erase(oldest);
-        close(*oldest, "connections");
-        return true;
+        return oldest;
     }
 
-    /** Makes the request leave that has made no progress for longest. */
+    /** Makes the largest request without progress leave. The bytes of one that
+     *  left are free a moment later, so that others wait for them first. */
     void evict_stalled(time_point now)
     {
+        if (now < m_next_eviction)
+        {
+            return;
+        }
+        m_next_eviction = now + room_check_interval;
         auto const holder = m_budget.stalled(now);
         auto const found = holder ? m_holders.find(*holder) : m_holders.end();
         if (found == m_holders.end())
@@ -162,6 +187,12 @@
             return;
         }
         auto const slot = found->second.lock();
+        if (slot && slot->has_input())
+        {
+            // It waits for this instance, for example after a freeze.
+            m_budget.note_progress(*holder, now);
+            return;
+        }
         // Its bytes are free when its coroutine has ended; until then it must
         // not be chosen again.
         m_budget.note_complete(*holder);
@@ -209,6 +240,7 @@
     }
 
     std::set<caller_slot*> m_slots;
+    time_point m_next_eviction;
     std::size_t m_closed = 0; ///< since the last log line
     time_point m_logged_at;
 };
@@ -256,6 +288,19 @@
     m_since = boot_time();
 }
 
+bool caller_slot::is_open() const
+{
+    auto const caller = m_caller.lock();
+    return caller && caller->stream().socket().is_open();
+}
+
+bool caller_slot::has_input() const
+{
+    auto const caller = m_caller.lock();
+    beast::error_code ignored;
+    return caller && caller->stream().socket().available(ignored) > 0;
+}
+
 request_memory::request_memory(std::shared_ptr<caller_limiter::impl> limiter,
                                std::shared_ptr<caller_slot> slot)
     : m_limiter(std::move(limiter)), m_slot(std::move(slot)),
@@ -285,7 +330,8 @@
             m_holds_body = m_holds_body || body_size > 0;
             co_return true;
         }
-        if (!m_limiter->m_budget.fits(bytes) || now - began >= longest)
+        if (!m_limiter->m_budget.fits(bytes) || now - began >= longest ||
+            !m_slot->is_open())
         {
             co_return false;
         }
--- a/src/entry/caller_limiter.hpp
+++ b/src/entry/caller_limiter.hpp
@@ -7,6 +7,7 @@
 #include <daisylead/serving/byte_budget_base.hpp>
 #include <daisylead/telemetry/metrics_base.hpp>
 
+#include <cstddef>
 #include <memory>
 
 namespace daisylead::entry
@@ -27,8 +28,10 @@
 class request_memory;
 
 /** Keeps callers that do not finish their requests from using up the memory and
- *  the descriptors of the process. At the bound, the connection that has been
- *  idle, or has made no progress with a request, for longest is closed. */
+ *  the descriptors of the process. At the bound of the connections, the one
+ *  that has been idle, or has made no progress with a request, for longest is
+ *  closed; at the bound of the memory, the largest request that makes no
+ *  progress. */
 class caller_limiter
 {
 public:
@@ -74,6 +77,12 @@
     /** Records progress of the connection. */
     void set_phase(phase next);
 
+    /** @return whether the connection is open on this side. */
+    bool is_open() const;
+
+    /** @return whether bytes have arrived that were not read yet. */
+    bool has_input() const;
+
 private:
     friend class caller_limiter::impl;
 
--- a/src/entry/caller_server.cpp
+++ b/src/entry/caller_server.cpp
@@ -42,8 +42,9 @@
 /** Size of the first read on an idle connection; most requests fit. */
 constexpr std::size_t first_read_size = 4096;
 
-/** Free capacity that a body in chunks has at each read, bytes; more than one
- *  read brings. */
+/** Steps by which the memory of a body in chunks grows, bytes. With the first
+ *  one it is still a small request, see byte_budget. */
+constexpr std::size_t first_body_step = 32768;
 constexpr std::size_t body_step = 131072;
 
 /** @return status and text of the answer to a request that cannot be parsed. */
@@ -227,6 +228,7 @@
             failure == http::error::end_of_stream ||
             failure == http::error::partial_message ||
             failure == asio::error::operation_aborted ||
+            failure == asio::error::bad_descriptor ||
             failure == asio::error::connection_reset)
         {
             co_return read_result::broken;
@@ -252,6 +254,7 @@
     {
         http::response<http::empty_body> interim(http::status::continue_,
                                                  parser.get().version());
+        stream.expires_after(limits.m_header_timeout);
         co_await http::async_write(
             stream, interim,
             asio::redirect_error(asio::use_awaitable, failure));
@@ -273,11 +276,13 @@
     while (!failure && !parser.is_done())
     {
         // The size of a body in chunks is known only when it is there.
-        if (max_body > 0 && body.capacity() - body.size() < body_step &&
+        std::size_t const step =
+            body.capacity() < first_body_step ? first_body_step : body_step;
+        if (max_body > 0 && body.capacity() - body.size() < step / 2 &&
             body.capacity() < max_body)
         {
             std::size_t const capacity =
-                std::min(max_body, std::max(2 * body.capacity(), body_step));
+                std::min(max_body, std::max(2 * body.capacity(), step));
             // Old and new memory are held while the bytes are moved.
             if (!co_await memory.reserve(capacity + body.size()))
             {
@@ -343,6 +348,11 @@
         {
             break;
         }
+        // The connection may have been closed to make room just now.
+        if (!slot->is_open())
+        {
+            break;
+        }
         memory->note_complete();
         if (m_closing)
         {
@@ -354,6 +364,8 @@
                               parser.release());
         open = co_await runner.run();
     }
+    // The last answer may still be on its way.
+    slot->set_phase(caller_slot::phase::handling);
     co_await caller->linger_and_close();
 }
 
--- a/src/entry/request_runner.cpp
+++ b/src/entry/request_runner.cpp
@@ -732,6 +732,11 @@
                             {"in_flight", place.m_in_flight},
                             {"candidates", place.m_candidates},
                             {"cached", place.m_likely_cached}};
+    entry["zone"] = place.m_upstream.m_zone.value();
+    if (place.m_leaving_share > 0)
+    {
+        entry["leaving_share"] = place.m_leaving_share;
+    }
     // The limit that was known when the upstream was chosen.
     if (place.m_rate_limit)
     {
--- a/src/entry/store_poller.cpp
+++ b/src/entry/store_poller.cpp
@@ -314,6 +314,7 @@
 awaitable<void> store_poller::kv_store_loop(std::size_t index)
 {
     std::uint64_t since = 0;
+    std::string last_address;
     for (;;)
     {
         time_point const now = boot_time();
@@ -324,6 +325,11 @@
             continue;
         }
         std::string const address = stores[index];
+        if (address != last_address)
+        {
+            since = 0;
+            last_address = address;
+        }
         auto const answered = m_state.m_kv_stores.answered_at(address);
         bool const is_fresh =
             answered &&
--- a/src/serving/byte_budget.cpp
+++ b/src/serving/byte_budget.cpp
@@ -75,18 +75,20 @@
 
 std::optional<byte_holder> byte_budget::stalled(time_point now) const
 {
-    std::optional<byte_holder> longest;
-    time_point progress_at = now - m_options.m_stalled_after;
+    std::optional<byte_holder> largest;
+    std::size_t most = 0;
     for (auto const& [id, item] : m_holders)
     {
-        if (!item.m_complete && item.m_bytes > 0 &&
-            item.m_progress_at <= progress_at)
+        bool const is_stalled =
+            !item.m_complete &&
+            now - item.m_progress_at >= m_options.m_stalled_after;
+        if (is_stalled && item.m_bytes > most)
         {
-            longest = id;
-            progress_at = item.m_progress_at;
+            largest = id;
+            most = item.m_bytes;
         }
     }
-    return longest;
+    return largest;
 }
 
 } // namespace daisylead::serving
--- a/src/serving/quota_limiter.cpp
+++ b/src/serving/quota_limiter.cpp
@@ -27,7 +27,8 @@
 constexpr duration ramp_refill_time = std::chrono::seconds(1);
 constexpr double max_ramp_fraction = 0.5;
 
-/** Part of that range for an organisation that is inside its limit. */
+/** An organisation that is inside its limit is admitted wholly down to this
+ * part of that level. */
 constexpr double calm_ramp_part = 0.3;
 
 /** Time constants by which the admitted fraction decays while the bucket is
@@ -187,6 +188,14 @@
     }
     duration const since =
         added || is_rebased ? duration::zero() : now - known.m_last_contact;
+    for (auto& [owner, item] : m_buckets)
+    {
+        return_silent_charge(item, known, owner, is_new_run || is_rebased);
+    }
+    if (is_rebased && !added)
+    {
+        drop_expected_use(known);
+    }
     for (auto const& [owner, total] : use)
     {
         std::int64_t& last = known.m_use[owner];
@@ -200,7 +209,6 @@
                                 (run.m_uptime < young_peer_uptime &&
                                  now - run.m_uptime >= item.m_opened));
             std::int64_t const units = is_charged ? total - last : 0;
-            return_silent_charge(item, known, owner, is_new_run);
             double const expected_units =
                 known.m_expected_use[owner].m_use_rate * seconds(since);
             return_dropped_charge(item,
@@ -313,24 +321,30 @@
     }
     // The instances that it reported for keep running, and another peer will
     // report their use.
-    for (auto const& [owner, expected] : known->second.m_expected_use)
+    drop_expected_use(known->second);
+    for (auto const& [owner, charged] : known->second.m_silent_charged)
     {
         auto const limited = m_buckets.find(owner);
         if (limited != m_buckets.end())
         {
-            limited->second.m_dropped_use_rate += expected.m_use_rate;
-            limited->second.m_dropped_charged += expected.m_charged;
+            limited->second.m_dropped_charged += charged;
         }
     }
-    for (auto const& [owner, charged] : known->second.m_silent_charged)
+    m_peers.erase(known);
+}
+
+void quota_limiter::drop_expected_use(peer_use& known)
+{
+    for (auto& [owner, expected] : known.m_expected_use)
     {
         auto const limited = m_buckets.find(owner);
         if (limited != m_buckets.end())
         {
-            limited->second.m_dropped_charged += charged;
+            limited->second.m_dropped_use_rate += expected.m_use_rate;
+            limited->second.m_dropped_charged += expected.m_charged;
         }
+        expected = {};
     }
-    m_peers.erase(known);
 }
 
 std::vector<quota_use> quota_limiter::own_use() const
@@ -434,7 +448,25 @@
             1.0, item.m_admitted_fraction *
                      std::exp(passed / seconds(fraction_recovery_time)));
     }
+    limit_returns(owner, item);
     item.m_updated_at = now;
 }
 
+/** What was charged in advance while the bucket stayed full cost nothing, so
+ *  that it must not be returned. */
+void quota_limiter::limit_returns(organisation_id const& owner, bucket& item)
+{
+    double lacking = std::max(0.0, item.m_limit.m_burst - item.m_level);
+    for (auto& [id, peer] : m_peers)
+    {
+        if (auto const charged = peer.m_silent_charged.find(owner);
+            charged != peer.m_silent_charged.end())
+        {
+            charged->second = std::min(charged->second, lacking);
+            lacking -= charged->second;
+        }
+    }
+    item.m_dropped_charged = std::min(item.m_dropped_charged, lacking);
+}
+
 } // namespace daisylead::serving
--- a/src/serving/room_share.cpp
+++ b/src/serving/room_share.cpp
@@ -13,6 +13,10 @@
  *  latency target. */
 constexpr std::size_t max_credits = 64;
 
+/** Time for which the credit of a refused request is kept; its caller returns
+ *  within it or not at all. */
+constexpr duration unmet_ttl = std::chrono::seconds(2);
+
 double seconds(duration value)
 {
     return std::chrono::duration<double>(value).count();
@@ -40,9 +44,13 @@
     double const share =
         static_cast<double>(free.value()) / static_cast<double>(m_instances);
     double const wanted = static_cast<double>(needed.value());
-    double const most = std::max(share, wanted);
     auto const [found, added] = m_credits.try_emplace(room_limit);
     credit& item = found->second;
+    if (now - item.m_unmet_at > unmet_ttl)
+    {
+        item.m_unmet = 0;
+    }
+    double const most = std::max({share, wanted, item.m_unmet});
     if (added)
     {
         item.m_tokens = most;
@@ -56,8 +64,14 @@
     item.m_tokens = std::min(item.m_tokens, most);
     if (item.m_tokens < wanted)
     {
+        item.m_unmet = std::max(item.m_unmet, wanted);
+        item.m_unmet_at = now;
         return false;
     }
+    if (wanted >= item.m_unmet)
+    {
+        item.m_unmet = 0;
+    }
     item.m_tokens -= wanted;
     return true;
 }
--- a/src/serving/sampled_choice.cpp
+++ b/src/serving/sampled_choice.cpp
@@ -1,4 +1,6 @@
 /** @file Choice among a sample of upstreams by late news of their load. */
+#include "random_fraction.hpp"
+
 #include <daisylead/serving/sampled_choice_func.hpp>
 
 #include <algorithm>
@@ -16,11 +18,6 @@
 /** An upstream at this multiple of the usual use gets no further requests. */
 constexpr double max_use_ratio = 2;
 
-double fraction_of(std::uint64_t random)
-{
-    return static_cast<double>(random >> 11) / static_cast<double>(1ULL << 53);
-}
-
 } // namespace
 
 std::size_t choose_from_sample(std::vector<sampled_upstream> const& sample,
--- a/src/serving/upstream_pool.cpp
+++ b/src/serving/upstream_pool.cpp
@@ -459,10 +459,7 @@
     std::sort(candidates.begin(), candidates.end(),
               [](candidate const& a, candidate const& b)
               { return a.m_weight > b.m_weight; });
-    for (std::size_t rank = 0; rank < candidates.size(); ++rank)
-    {
-        candidates[rank].m_rank = rank;
-    }
+    number_candidates(candidates);
     std::size_t index = 0;
     if (m_sampled)
     {
@@ -470,16 +467,14 @@
         {
             return best;
         }
-        double const usual_use = mean_use(candidates, request);
         // For a large prefix, an engine that keeps it matters more than the
         // zone.
         if (m_options.m_token_cost * request.m_prefix_tokens.value() <
             m_options.m_zone_cost)
         {
-            best.m_leaving_share =
-                zone_balance_of(candidates, request, now).leaving_share();
-            keep_zone(candidates, request, now);
+            best.m_leaving_share = keep_zone(candidates, request, now);
         }
+        double const usual_use = mean_use(candidates, request);
         keep_sample(candidates, request, now);
         index = choose_sampled(candidates, request, usual_use, now);
     }
@@ -519,9 +514,16 @@
                *request.m_max_memory_use;
 }
 
-zone_balance&
-upstream_pool::zone_balance_of(std::vector<candidate> const& candidates,
-                               placement_request const& request, time_point now)
+void upstream_pool::number_candidates(std::vector<candidate>& candidates)
+{
+    for (std::size_t rank = 0; rank < candidates.size(); ++rank)
+    {
+        candidates[rank].m_rank = rank;
+    }
+}
+
+zone_balance& upstream_pool::zone_balance_of(placement_request const& request,
+                                             time_point now)
 {
     balanced_zone& item =
         m_zones
@@ -535,13 +537,23 @@
     }
     item.m_updated_at = now;
     std::map<zone_id, zone_load> zones;
-    for (candidate const& option : candidates)
+    for (upstream_id const& id : m_by_service.at(request.m_service))
     {
-        upstream_record const& record = option.m_entry->m_record;
-        zone_load& load = zones[record.m_zone];
-        auto const slots = static_cast<double>(record.m_slots);
-        load.m_zone = record.m_zone;
-        load.m_use += occupancy(*option.m_entry, request) * slots;
+        entry const& upstream = m_entries.at(id);
+        if (upstream.m_record.m_leaving || upstream.m_paused_until > now ||
+            upstream.m_switching_until > now)
+        {
+            continue;
+        }
+        auto const slots = static_cast<double>(
+            std::max<std::int64_t>(1, upstream.m_record.m_slots));
+        double const use =
+            std::max(static_cast<double>(upstream.requests()) / slots,
+                     memory_use(upstream, request.m_capacity, token_count()) /
+                         m_options.m_usable_memory_fraction);
+        zone_load& load = zones[upstream.m_record.m_zone];
+        load.m_zone = upstream.m_record.m_zone;
+        load.m_use += use * slots;
         load.m_slots += slots;
     }
     std::vector<zone_load> loads;
@@ -554,25 +566,25 @@
     return item.m_balance;
 }
 
-/** Keeps the upstreams of the zone that the request goes to. */
-void upstream_pool::keep_zone(std::vector<candidate>& candidates,
-                              placement_request const& request, time_point now)
+/** Keeps the upstreams of the zone that the request goes to.
+ *  @return share of such requests that leaves the zone */
+double upstream_pool::keep_zone(std::vector<candidate>& candidates,
+                                placement_request const& request,
+                                time_point now)
 {
-    zone_id const zone =
-        zone_balance_of(candidates, request, now).choose(m_random, now);
+    zone_balance const& balance = zone_balance_of(request, now);
+    zone_id const zone = balance.choose(m_random, now);
     auto const is_elsewhere = [&zone](candidate const& option)
     {
         return option.m_entry->m_record.m_zone != zone;
     };
     if (std::all_of(candidates.begin(), candidates.end(), is_elsewhere))
     {
-        return;
+        return balance.leaving_share();
     }
     std::erase_if(candidates, is_elsewhere);
-    for (std::size_t rank = 0; rank < candidates.size(); ++rank)
-    {
-        candidates[rank].m_rank = rank;
-    }
+    number_candidates(candidates);
+    return balance.leaving_share();
 }
 
 /** Keeps the first upstreams, those that this instance knows to have the
@@ -681,6 +693,12 @@
         free += std::max(0.0, limit - static_cast<double>(item.m_tokens +
                                                           item.m_peer_tokens));
     }
+    // Room that is not scarce needs no division.
+    if (free >= limit * static_cast<double>(candidates.size()) *
+                    m_options.m_scarce_room)
+    {
+        return true;
+    }
     room_share& share = m_room_shares[request.m_service];
     share.set_fleet(m_instances, m_news_age);
     return share.take(*request.m_max_memory_use, request.m_tokens,
--- a/src/serving/zone_balance.cpp
+++ b/src/serving/zone_balance.cpp
@@ -1,4 +1,6 @@
 /** @file How much of an instance's requests leaves its availability zone. */
+#include "random_fraction.hpp"
+
 #include <daisylead/serving/zone_balance_base.hpp>
 
 #include <algorithm>
@@ -6,16 +8,6 @@
 namespace daisylead::serving
 {
 
-namespace
-{
-
-double fraction_of(std::uint64_t random)
-{
-    return static_cast<double>(random >> 11) / static_cast<double>(1ULL << 53);
-}
-
-} // namespace
-
 zone_balance::zone_balance(zone_balance_options options, zone_id own)
     : m_options(options), m_own(std::move(own))
 {
@@ -30,6 +22,10 @@
                  : 0.0;
     m_updated_at = now;
     m_offers.clear();
+    if (!is_known)
+    {
+        m_share = 0;
+    }
     double offered = 0;
     double wanted = 0;
     zone_load own{m_own, 0, 0};
@@ -56,11 +52,7 @@
         m_share = 1;
         for (zone_load const& zone : zones)
         {
-            bool const is_offered =
-                std::any_of(m_offers.begin(), m_offers.end(),
-                            [&zone](offer const& item)
-                            { return item.m_zone == zone.m_zone; });
-            if (zone.m_slots > 0 && !is_offered && offered <= 0)
+            if (offered <= 0 && zone.m_slots > 0)
             {
                 m_offers.push_back({zone.m_zone, zone.m_slots});
             }
@@ -68,11 +60,7 @@
         return;
     }
     double const excess = own.m_use - m_options.m_full_use;
-    if (m_offers.empty())
-    {
-        m_share = 0;
-    }
-    else if (excess > 0)
+    if (excess > 0 && !m_offers.empty())
     {
         // The zones that want to send divide what the others have free.
         double const part = excess * own.m_slots / wanted;
@@ -81,7 +69,7 @@
         m_share =
             std::min(most, m_share + m_options.m_growth * excess * passed);
     }
-    else if (own.m_use < m_options.m_return_use)
+    else if (m_offers.empty() || own.m_use < m_options.m_return_use)
     {
         m_share = std::max(0.0, m_share - m_options.m_decline * passed);
     }
