Add: [Routing] engines that answer no instance are ruled out

Cause: a quarter of the engines is silent for many seconds while each instance sends to any one of them less than once in that time, so that no instance sees it alone.

Change: the news of each instance carries the time since an upstream last sent bytes to one of its requests. An upstream that is silent for all instances is no candidate, except for one trial request per instance and service at a time.

--- a/include/daisylead/serving/upstream_pool_base.hpp
+++ b/include/daisylead/serving/upstream_pool_base.hpp
@@ -89,6 +89,15 @@
     duration m_switching_ttl = std::chrono::milliseconds(1500);
     /** Max. recent prompt prefixes remembered per engine. */
     std::size_t m_max_prefixes = 1024;
+    /** Time without a byte to any request in progress, beyond the usual age of
+     *  the news of peers, from which an upstream is silent. A sound engine
+     *  sends bytes every few milliseconds; the rest covers a pause of a second,
+     *  as of a TCP retransmission. */
+    duration m_silent_after = std::chrono::milliseconds(1500);
+    /** Min. time between two trial requests of this instance to silent
+     *  upstreams of a service: each may be lost, and one answer to any instance
+     *  brings an upstream back for all. */
+    duration m_trial_interval = std::chrono::seconds(1);
 };
 
 /** Properties of a request that the choice of an upstream depends on. */
@@ -165,6 +174,9 @@
     upstream_id m_upstream;      ///< upstream id
     std::int64_t m_requests = 0; ///< number of requests
     std::int64_t m_tokens = 0;   ///< their prompt and output tokens
+    /** Since it last sent bytes, or since the first of the requests was sent;
+     *  nothing: not known. */
+    std::optional<duration> m_silence{};
 };
 
 /** Requests in flight by upstream. */
@@ -215,10 +227,12 @@
      *  @param news_age usual age of what is known of the others */
     void set_sampled(std::int64_t instances, duration news_age);
 
-    /** From now on, a request is compared on all upstreams. */
-    void set_unsampled()
+    /** From now on, a request is compared on all upstreams.
+     *  @param news_age usual age of what is known of the others */
+    void set_unsampled(duration news_age)
     {
         m_sampled = false;
+        m_news_age = news_age;
     }
 
     /** Sets the memory of one engine of a service; 0: unknown. */
@@ -230,7 +244,18 @@
 
     /** Records a request that is sent to the upstream. */
     void note_sent(upstream_id const& id, std::uint64_t prefix,
-                   token_count tokens);
+                   token_count tokens, time_point now);
+
+    /** Records bytes of the upstream to any request of this instance. */
+    void note_bytes(upstream_id const& id, time_point now);
+
+    /** Sets the services that this instance cannot reach: the silence of their
+     *  upstreams is that of the path and is not reported. */
+    void set_cut_services(std::vector<service_id> const& services);
+
+    /** @return whether no request in progress, of any instance, has had bytes
+     *          for longer than a sound upstream pauses. */
+    bool is_silent(upstream_id const& id, time_point now) const;
 
     /** Records the first bytes of the response to a request. */
     void note_first_bytes(upstream_id const& id);
@@ -291,21 +316,25 @@
     }
 
     /** Replaces the requests in flight of a peer.
+     *  @param received_at when they were received
      *  @param in_group this instance includes them in its own counts */
     void note_peer(instance_id const& peer, in_flight_counts counts,
-                   bool in_group = false);
+                   time_point received_at, bool in_group = false);
 
     /** Removes a peer that has left. */
     void drop_peer(instance_id const& peer);
 
-    /** @return requests in flight of this instance and of its group. */
-    in_flight_counts own_in_flight() const;
+    /** @return requests in flight of this instance and of its group. An
+     *          upstream without any is included if a peer reports it silent and
+     *          it recently sent bytes. */
+    in_flight_counts own_in_flight(time_point now) const;
 
     /** @return requests in flight of all instances but one peer, at upstreams
      *          with at least @p min_share of their slots or of their memory in
-     *          use. */
+     *          use, at silent ones, and at those that the peer reports
+     *          silent. */
     in_flight_counts in_flight_without(instance_id const& peer,
-                                       double min_share) const;
+                                       double min_share, time_point now) const;
 
     /** @return upstreams of a service that are not leaving, with their loaded
      *          weights. */
@@ -366,6 +395,14 @@
     bool is_switching(upstream_id const& id, time_point now) const;
 
 private:
+    /** Report of a peer on when an upstream last sent bytes. */
+    struct peer_silence
+    {
+        time_point m_since;      ///< time of these bytes
+        bool m_silent = false;   ///< it was silent when reported
+        bool m_in_group = false; ///< included in the own report
+    };
+
     struct entry
     {
         upstream_record m_record;
@@ -379,6 +416,11 @@
         std::int64_t m_group_tokens = 0;   ///< tokens of these
         bool m_announced_leaving = false;  ///< to this instance or a peer
         time_point m_rejected_until; ///< rejects requests before this time
+        std::optional<time_point> m_last_bytes_at; ///< to own requests
+        /** Since when own requests are in progress without interruption. */
+        time_point m_busy_since;
+        time_point m_run_seen_at; ///< when this run was first listed
+        std::unordered_map<instance_id, peer_silence> m_peer_silences;
         int m_failures = 0;
         time_point m_paused_until;
         time_point m_switching_until; ///< TTL of the state that it loads
@@ -403,7 +445,15 @@
     struct peer_load
     {
         in_flight_counts m_counts;
-        bool m_in_group = false; ///< included in the own counts
+        bool m_in_group = false;  ///< included in the own counts
+        time_point m_received_at; ///< when they were received
+    };
+
+    /** Latest trial request to a silent upstream of a service. */
+    struct trial
+    {
+        upstream_id m_upstream;
+        time_point m_sent_at;
     };
 
     /** An upstream that can take a request. */
@@ -412,9 +462,21 @@
         std::uint64_t m_weight = 0; ///< weight of rendezvous hashing
         std::size_t m_rank = 0;     ///< in the order of the weights
         entry* m_entry = nullptr;
+        bool m_silent = false; ///< see is_silent()
     };
 
-    void add_peer_load(peer_load const& load, int sign);
+    void add_peer_load(instance_id const& peer, peer_load const& load,
+                       int sign);
+    duration silence_limit() const;
+    std::optional<duration>
+    silence(entry const& item, time_point now,
+            std::function<bool(instance_id const&, peer_silence const&)> const&
+                counts) const;
+    bool is_silent(entry const& item, time_point now) const;
+    void drop_silent(std::vector<candidate>& candidates,
+                     placement_request const& request, bool has_sound,
+                     time_point now) const;
+    bool may_try_silent(service_id const& service, time_point now) const;
     bool has_room(entry const& item, placement_request const& request) const;
     void keep_zone(std::vector<candidate>& candidates,
                    placement_request const& request, time_point now);
@@ -468,6 +530,8 @@
     duration m_news_age{};
     std::unordered_map<model_id, named_versions> m_named;
     std::unordered_map<instance_id, peer_load> m_peers;
+    std::unordered_map<service_id, trial> m_trials;
+    std::set<service_id> m_cut_services;
     upstream_rates m_rates;
     std::optional<time_point> m_read_at;
     std::optional<time_point> m_grace_until;
--- a/src/entry/fleet_exchange.cpp
+++ b/src/entry/fleet_exchange.cpp
@@ -136,6 +136,7 @@
     news.m_fleet = m_state.m_roster.fleet_size(now);
     news.m_relays_digest = m_state.m_roster.relays_digest(now);
     news.m_cut_services = m_state.cut_services();
+    m_state.m_upstream_pool.set_cut_services(news.m_cut_services);
     news.m_store_era = m_state.m_store_era;
     news.m_store_era_age_ms = std::chrono::floor<std::chrono::milliseconds>(
                                   now - m_state.m_store_era_since)
@@ -158,8 +159,9 @@
             m_state.to_totals(m_state.m_quotas.reported_use());
     }
     news.m_load = m_state.m_upstreams.to_news(
-        child ? m_state.m_upstream_pool.in_flight_without(to, min_reported_load)
-              : m_state.m_upstream_pool.own_in_flight());
+        child ? m_state.m_upstream_pool.in_flight_without(to, min_reported_load,
+                                                          now)
+              : m_state.m_upstream_pool.own_in_flight(now));
     m_state.add_rates(news.m_load, peer, now);
     news.m_knows_blocked_parts = m_state.m_knows_blocked_parts;
     news.m_blocked_digest = m_state.m_part_quarantine.blocked_digest();
@@ -350,7 +352,7 @@
     if (auto counts = m_state.m_upstreams.from_news(news.m_load))
     {
         m_state.m_upstream_pool.note_peer(news.m_member.m_id,
-                                          std::move(*counts), in_group);
+                                          std::move(*counts), now, in_group);
     }
 }
 
--- a/src/entry/fleet_state.cpp
+++ b/src/entry/fleet_state.cpp
@@ -431,7 +431,7 @@
     m_quotas.set_news_age(news_age);
     if (m_roster.is_mesh())
     {
-        m_upstream_pool.set_unsampled();
+        m_upstream_pool.set_unsampled(news_age);
     }
     else
     {
--- a/src/entry/request_attempt.cpp
+++ b/src/entry/request_attempt.cpp
@@ -179,7 +179,7 @@
     attempt_times times{boot_time(), {}, {}, {}};
     bool const is_repeat = !m_tried.insert(id).second;
     token_count const tokens = m_description.m_tokens.value_or(token_count());
-    m_state.m_upstream_pool.note_sent(id, m_prefix, tokens);
+    m_state.m_upstream_pool.note_sent(id, m_prefix, tokens, boot_time());
     m_counted_at = id;
     m_answer_begun = false;
     auto const left_to_connect = std::min(time_left(), connect_timeout);
@@ -351,6 +351,7 @@
         times.m_answered = boot_time();
         m_state.m_upstream_pool.note_reachable(id);
         m_silence_watch->note_bytes();
+        m_state.m_upstream_pool.note_bytes(id, *times.m_answered);
         if (info.m_weights > 0)
         {
             time_point const now = boot_time();
@@ -575,6 +576,10 @@
         if (!whole.empty())
         {
             m_silence_watch->note_bytes();
+            if (m_counted_at)
+            {
+                m_state.m_upstream_pool.note_bytes(*m_counted_at, boot_time());
+            }
         }
         if (m_splitter.partial().size() > max_event_size)
         {
--- a/src/serving/upstream_list.cpp
+++ b/src/serving/upstream_list.cpp
@@ -91,6 +91,19 @@
         std::clamp<std::int64_t>(value, 0, std::numeric_limits<Number>::max()));
 }
 
+/** @return at least 1 for a known silence, as 0 means that it is not known. */
+std::uint16_t to_silence_ms(std::optional<duration> const& silence)
+{
+    if (!silence)
+    {
+        return 0;
+    }
+    return std::max<std::uint16_t>(
+        1,
+        clamped<std::uint16_t>(
+            std::chrono::floor<std::chrono::milliseconds>(*silence).count()));
+}
+
 } // namespace
 
 void upstream_list::take(std::vector<upstream_record> records,
@@ -204,7 +217,8 @@
         {
             news.m_loads.push_back({*position,
                                     clamped<std::uint16_t>(use.m_requests),
-                                    clamped<std::uint32_t>(use.m_tokens)});
+                                    clamped<std::uint32_t>(use.m_tokens),
+                                    to_silence_ms(use.m_silence)});
         }
     }
     return news;
@@ -222,8 +236,13 @@
     {
         if (load.m_position < m_records.size())
         {
-            counts.push_back({m_records[load.m_position].m_id, load.m_requests,
-                              load.m_tokens});
+            counts.push_back(
+                {m_records[load.m_position].m_id, load.m_requests,
+                 load.m_tokens,
+                 load.m_silence_ms == 0
+                     ? std::nullopt
+                     : std::optional<duration>(
+                           std::chrono::milliseconds(load.m_silence_ms))});
         }
     }
     return counts;
--- a/src/serving/upstream_pool.cpp
+++ b/src/serving/upstream_pool.cpp
@@ -77,6 +77,8 @@
             item.m_tokens = tokens;
             item.m_waiting = waiting;
             item.m_running = running;
+            item.m_busy_since = read_at;
+            item.m_run_seen_at = read_at;
             item.m_record = record;
             m_rates.erase(record.m_id);
             added.push_back(record.m_id);
@@ -128,10 +130,11 @@
         item.m_peer_tokens = 0;
         item.m_group_requests = 0;
         item.m_group_tokens = 0;
+        item.m_peer_silences.clear();
     }
     for (auto const& [peer, load] : m_peers)
     {
-        add_peer_load(load, 1);
+        add_peer_load(peer, load, 1);
     }
     return {std::move(added), std::move(removed)};
 }
@@ -400,6 +403,7 @@
     }
     std::vector<candidate> candidates;
     bool has_other_obstacle = false;
+    bool has_sound = false;
     for (upstream_id const& id : ids->second)
     {
         entry& item = m_entries.at(id);
@@ -428,6 +432,8 @@
         {
             best.m_reason = no_placement::all_busy;
         }
+        bool const silent = is_silent(item, now);
+        has_sound = has_sound || (item.m_failures == 0 && !silent);
         if (item.m_switching_until > now || item.m_paused_until > now ||
             item.m_rejected_until > now || !has_room(item, request))
         {
@@ -445,8 +451,11 @@
         candidates.push_back({request.m_prefix != 0
                                   ? rendezvous_weight(id, request.m_prefix)
                                   : m_random(),
-                              0, &item});
+                              0, &item, silent});
     }
+    std::size_t const reachable = candidates.size();
+    drop_silent(candidates, request, has_sound, now);
+    has_other_obstacle = has_other_obstacle || candidates.size() < reachable;
     best.m_candidates = candidates.size();
     if (has_other_obstacle || !candidates.empty())
     {
@@ -499,9 +508,137 @@
     best.m_in_flight = chosen->requests();
     best.m_rate_limit = m_rates.limit(chosen->m_record.m_id);
     m_rates.note_sent(chosen->m_record.m_id, now);
+    if (candidates[index].m_silent)
+    {
+        m_trials[request.m_service] = {chosen->m_record.m_id, now};
+    }
     return best;
 }
 
+duration upstream_pool::silence_limit() const
+{
+    return m_options.m_silent_after + m_news_age;
+}
+
+/** @param counts which reports count; the own one has an empty instance id
+ *  @return the smallest silence known. One beyond the limit is returned only if
+ *          some instance has requests in progress that got no bytes: old news
+ *          of bytes do not show that the upstream is silent. */
+std::optional<duration> upstream_pool::silence(
+    entry const& item, time_point now,
+    std::function<bool(instance_id const&, peer_silence const&)> const& counts)
+    const
+{
+    duration smallest = duration::max();
+    bool is_reported_silent = false;
+    auto const add = [&](instance_id const& from, peer_silence const& report)
+    {
+        if (counts(from, report))
+        {
+            smallest =
+                std::min(smallest, std::max(duration{}, now - report.m_since));
+            is_reported_silent = is_reported_silent || report.m_silent;
+        }
+    };
+    for (auto const& [peer, report] : item.m_peer_silences)
+    {
+        add(peer, report);
+    }
+    if (item.m_last_bytes_at)
+    {
+        add(instance_id(), {*item.m_last_bytes_at, false, true});
+    }
+    // A request that was sent recently shows nothing yet. If its short wait
+    // were reported, each trial would bring the upstream back.
+    time_point const since = std::max(
+        item.m_busy_since, item.m_last_bytes_at.value_or(item.m_busy_since));
+    if (item.m_waiting + item.m_running > 0 && now - since > silence_limit() &&
+        !m_cut_services.contains(item.m_record.m_service))
+    {
+        add(instance_id(), {since, true, true});
+    }
+    return smallest <= silence_limit() || is_reported_silent
+               ? std::optional(smallest)
+               : std::nullopt;
+}
+
+/** As silence() of all reports, but cheap for an upstream with recent bytes, as
+ *  it is called for each upstream of each placement. */
+bool upstream_pool::is_silent(entry const& item, time_point now) const
+{
+    time_point const limit = now - silence_limit();
+    if (item.m_last_bytes_at && *item.m_last_bytes_at >= limit)
+    {
+        return false;
+    }
+    bool is_reported_silent = item.m_waiting + item.m_running > 0 &&
+                              item.m_busy_since < limit &&
+                              !m_cut_services.contains(item.m_record.m_service);
+    for (auto const& [peer, report] : item.m_peer_silences)
+    {
+        if (report.m_since >= limit)
+        {
+            return false;
+        }
+        is_reported_silent = is_reported_silent || report.m_silent;
+    }
+    return is_reported_silent;
+}
+
+bool upstream_pool::is_silent(upstream_id const& id, time_point now) const
+{
+    auto const found = m_entries.find(id);
+    return found != m_entries.end() && is_silent(found->second, now);
+}
+
+/** @return whether a trial request to a silent upstream may be sent. */
+bool upstream_pool::may_try_silent(service_id const& service,
+                                   time_point now) const
+{
+    auto const last = m_trials.find(service);
+    if (last == m_trials.end())
+    {
+        return true;
+    }
+    if (now - last->second.m_sent_at < m_options.m_trial_interval)
+    {
+        return false;
+    }
+    auto const found = m_entries.find(last->second.m_upstream);
+    return found == m_entries.end() ||
+           found->second.m_waiting + found->second.m_running == 0 ||
+           !is_silent(found->second, now);
+}
+
+/** Removes silent upstreams, except for one if a trial is due.
+ *  @param has_sound whether the service has an upstream that is not silent;
+ *         otherwise the cause is likely elsewhere */
+void upstream_pool::drop_silent(std::vector<candidate>& candidates,
+                                placement_request const& request,
+                                bool has_sound, time_point now) const
+{
+    if (!has_sound)
+    {
+        return;
+    }
+    auto const silent = std::partition(candidates.begin(), candidates.end(),
+                                       [](candidate const& option)
+                                       { return !option.m_silent; });
+    // A request that may not be repeated would be lost with a failed trial.
+    bool const tries = silent != candidates.end() && request.m_repeatable &&
+                       may_try_silent(request.m_service, now);
+    if (tries)
+    {
+        // The weights differ by prefix or are random, so that trials go to all
+        // silent upstreams in the course of time.
+        std::iter_swap(silent,
+                       std::max_element(silent, candidates.end(),
+                                        [](auto const& a, auto const& b)
+                                        { return a.m_weight < b.m_weight; }));
+    }
+    candidates.erase(silent + (tries ? 1 : 0), candidates.end());
+}
+
 bool upstream_pool::has_room(entry const& item,
                              placement_request const& request) const
 {
@@ -725,13 +862,17 @@
 }
 
 void upstream_pool::note_sent(upstream_id const& id, std::uint64_t prefix,
-                              token_count tokens)
+                              token_count tokens, time_point now)
 {
     auto const found = m_entries.find(id);
     if (found == m_entries.end())
     {
         return;
     }
+    if (found->second.m_waiting + found->second.m_running == 0)
+    {
+        found->second.m_busy_since = now;
+    }
     ++found->second.m_waiting;
     found->second.m_tokens += tokens.value();
     if (prefix != 0)
@@ -740,6 +881,20 @@
     }
 }
 
+void upstream_pool::note_bytes(upstream_id const& id, time_point now)
+{
+    auto const found = m_entries.find(id);
+    if (found != m_entries.end())
+    {
+        found->second.m_last_bytes_at = now;
+    }
+}
+
+void upstream_pool::set_cut_services(std::vector<service_id> const& services)
+{
+    m_cut_services = {services.begin(), services.end()};
+}
+
 void upstream_pool::note_first_bytes(upstream_id const& id)
 {
     auto const found = m_entries.find(id);
@@ -844,7 +999,8 @@
         news.m_switching ? now + m_options.m_switching_ttl : now;
 }
 
-void upstream_pool::add_peer_load(peer_load const& load, int sign)
+void upstream_pool::add_peer_load(instance_id const& peer,
+                                  peer_load const& load, int sign)
 {
     for (upstream_load const& use : load.m_counts)
     {
@@ -860,6 +1016,16 @@
         };
         add(item.m_peer_requests, use.m_requests);
         add(item.m_peer_tokens, use.m_tokens);
+        if (sign < 0)
+        {
+            item.m_peer_silences.erase(peer);
+        }
+        else if (use.m_silence && load.m_received_at >= item.m_run_seen_at)
+        {
+            item.m_peer_silences[peer] = {load.m_received_at - *use.m_silence,
+                                          *use.m_silence > silence_limit(),
+                                          load.m_in_group};
+        }
         if (load.m_in_group)
         {
             add(item.m_group_requests, use.m_requests);
@@ -869,11 +1035,11 @@
 }
 
 void upstream_pool::note_peer(instance_id const& peer, in_flight_counts counts,
-                              bool in_group)
+                              time_point received_at, bool in_group)
 {
     drop_peer(peer);
-    peer_load load{std::move(counts), in_group};
-    add_peer_load(load, 1);
+    peer_load load{std::move(counts), in_group, received_at};
+    add_peer_load(peer, load, 1);
     m_peers[peer] = std::move(load);
 }
 
@@ -882,29 +1048,40 @@
     auto const known = m_peers.find(peer);
     if (known != m_peers.end())
     {
-        add_peer_load(known->second, -1);
+        add_peer_load(peer, known->second, -1);
         m_peers.erase(known);
     }
 }
 
-in_flight_counts upstream_pool::own_in_flight() const
+in_flight_counts upstream_pool::own_in_flight(time_point now) const
 {
+    auto const is_own = [](instance_id const&, peer_silence const& report)
+    {
+        return report.m_in_group;
+    };
     in_flight_counts counts;
     for (auto const& [id, item] : m_entries)
     {
         std::int64_t const requests =
             item.m_waiting + item.m_running + item.m_group_requests;
-        if (requests > 0)
+        std::optional<duration> const known = silence(item, now, is_own);
+        bool const contradicts =
+            known && *known <= silence_limit() &&
+            std::any_of(
+                item.m_peer_silences.begin(), item.m_peer_silences.end(),
+                [](auto const& report) { return report.second.m_silent; });
+        if (requests > 0 || contradicts)
         {
             counts.push_back(
-                {id, requests, item.m_tokens + item.m_group_tokens});
+                {id, requests, item.m_tokens + item.m_group_tokens, known});
         }
     }
     return counts;
 }
 
 in_flight_counts upstream_pool::in_flight_without(instance_id const& peer,
-                                                  double min_share) const
+                                                  double min_share,
+                                                  time_point now) const
 {
     std::unordered_map<upstream_id, upstream_load const*> excluded;
     if (auto const known = m_peers.find(peer); known != m_peers.end())
@@ -914,26 +1091,36 @@
             excluded.emplace(use.m_upstream, &use);
         }
     }
+    auto const is_other = [&peer](instance_id const& from, peer_silence const&)
+    {
+        return from != peer;
+    };
     in_flight_counts counts;
     for (auto const& [id, item] : m_entries)
     {
+        std::optional<duration> const known = silence(item, now, is_other);
+        auto const told = item.m_peer_silences.find(peer);
+        bool const contradicts = known && *known <= silence_limit() &&
+                                 told != item.m_peer_silences.end() &&
+                                 told->second.m_silent;
+        bool const is_told = contradicts || (known && *known > silence_limit());
         double const min_requests =
             min_share * static_cast<double>(item.m_record.m_slots);
         double const memory = memory_use(
             item, capacity_of(item.m_record.m_service), token_count());
         if (static_cast<double>(item.requests()) < min_requests &&
-            memory < min_share)
+            memory < min_share && !is_told)
         {
             continue;
         }
         upstream_load use{id, item.requests(),
-                          item.m_tokens + item.m_peer_tokens};
+                          item.m_tokens + item.m_peer_tokens, known};
         if (auto const own = excluded.find(id); own != excluded.end())
         {
             use.m_requests -= own->second->m_requests;
             use.m_tokens -= own->second->m_tokens;
         }
-        if (use.m_requests > 0)
+        if (use.m_requests > 0 || contradicts)
         {
             counts.push_back(std::move(use));
         }
--- a/tests/serving/placement_simulation_test.cpp
+++ b/tests/serving/placement_simulation_test.cpp
@@ -349,7 +349,8 @@
             return;
         }
         m_pools[request->m_instance].note_sent(
-            id_of(*number), request->m_prefix, token_count(request->memory()));
+            id_of(*number), request->m_prefix, token_count(request->memory()),
+            now);
         m_engines[static_cast<std::size_t>(*number)].m_waiting.push_back(
             request);
     }
@@ -495,13 +496,13 @@
     {
         for (std::size_t from = 0; from < m_pools.size(); ++from)
         {
-            auto const counts = m_pools[from].own_in_flight();
+            auto const counts = m_pools[from].own_in_flight(now);
             for (std::size_t to = 0; to < m_pools.size(); ++to)
             {
                 if (from != to)
                 {
                     m_pools[to].note_peer(
-                        instance_id("i" + std::to_string(from)), counts);
+                        instance_id("i" + std::to_string(from)), counts, now);
                 }
             }
         }
--- a/tests/serving/room_placement_test.cpp
+++ b/tests/serving/room_placement_test.cpp
@@ -138,7 +138,7 @@
         }
         int const engine = std::stoi(place.m_upstream.m_id.value().substr(1));
         m_pools[instance].note_sent(place.m_upstream.m_id, query.m_prefix,
-                                    query.m_tokens);
+                                    query.m_tokens, m_now);
         m_pools[instance].note_first_bytes(place.m_upstream.m_id);
         ++m_counts[instance][static_cast<std::size_t>(engine)];
         m_running.push_back({m_now + service_time, instance, engine});
@@ -190,7 +190,7 @@
                         {engine_id(engine), others, others * request_tokens});
                 }
             }
-            m_pools[i].note_peer(instance_id("relay"), std::move(news));
+            m_pools[i].note_peer(instance_id("relay"), std::move(news), m_now);
         }
     }
 
--- a/tests/serving/upstream_pool_test.cpp
+++ b/tests/serving/upstream_pool_test.cpp
@@ -146,7 +146,7 @@
     request.m_tokens = token_count(9000);
     request.m_capacity = token_count(100000);
     CHECK(pool.place(request, start + 5s).m_reason == no_placement::none);
-    pool.note_sent(upstream_id("e0"), 0, token_count(80000));
+    pool.note_sent(upstream_id("e0"), 0, token_count(80000), start);
     CHECK(pool.place(request, start + 4s).m_reason == no_placement::none);
     CHECK(pool.place(request, start + 5s).m_reason ==
           no_placement::no_upstream);
@@ -163,7 +163,7 @@
     placement_request request = make_request();
     request.m_tokens = token_count(5000);
     request.m_capacity = token_count(100000);
-    pool.note_sent(upstream_id("e0"), 0, token_count(55000));
+    pool.note_sent(upstream_id("e0"), 0, token_count(55000), start);
     CHECK(pool.place(request, start + 5s).m_reason == no_placement::none);
     CHECK(pool.place(request, start + 5900ms).m_reason ==
           no_placement::no_upstream);
@@ -181,7 +181,7 @@
     request.m_capacity = token_count(100000);
     in_flight_counts counts;
     counts.push_back({upstream_id("e0"), 44, 20000});
-    pool.note_peer(instance_id("p"), counts);
+    pool.note_peer(instance_id("p"), counts, start);
     CHECK(pool.place(request, start + 4s).m_reason == no_placement::none);
     CHECK(pool.place(request, start + 6400ms).m_reason ==
           no_placement::no_upstream);
@@ -277,11 +277,11 @@
     request.m_prefix = 4711;
     request.m_prefix_tokens = token_count(6300);
     upstream_id const home = pool.place(request, start).m_upstream.m_id;
-    pool.note_sent(home, request.m_prefix, token_count(9000));
+    pool.note_sent(home, request.m_prefix, token_count(9000), start);
     CHECK(pool.place(request, start).m_upstream.m_id == home);
     for (int i = 0; i < 40; ++i)
     {
-        pool.note_sent(home, request.m_prefix, token_count(9000));
+        pool.note_sent(home, request.m_prefix, token_count(9000), start);
     }
     CHECK(pool.place(request, start).m_upstream.m_id != home);
 }
@@ -294,12 +294,12 @@
     pool.take_list(make_engines(2), start);
     for (int i = 0; i < 11; ++i)
     {
-        pool.note_sent(upstream_id("e0"), 0, token_count(9200));
+        pool.note_sent(upstream_id("e0"), 0, token_count(9200), start);
         pool.note_first_bytes(upstream_id("e0"));
     }
     for (int i = 0; i < 20; ++i)
     {
-        pool.note_sent(upstream_id("e1"), 0, token_count(900));
+        pool.note_sent(upstream_id("e1"), 0, token_count(900), start);
         pool.note_first_bytes(upstream_id("e1"));
     }
     placement_request request = make_request();
@@ -312,9 +312,9 @@
 {
     upstream_pool pool = make_pool();
     pool.take_list(make_engines(1), start);
-    pool.note_peer(instance_id("p"), {{upstream_id("e0"), 96, 1000}});
+    pool.note_peer(instance_id("p"), {{upstream_id("e0"), 96, 1000}}, start);
     CHECK(pool.place(make_request(), start).m_reason == no_placement::all_busy);
-    pool.note_peer(instance_id("p"), {{upstream_id("e0"), 5, 50}});
+    pool.note_peer(instance_id("p"), {{upstream_id("e0"), 5, 50}}, start);
     CHECK(pool.in_flight(upstream_id("e0")) == 5);
     pool.drop_peer(instance_id("p"));
     CHECK(pool.in_flight(upstream_id("e0")) == 0);
@@ -363,7 +363,7 @@
     upstream_pool pool = make_pool();
     pool.take_list(make_engines(3), start);
     upstream_id const limited("e0");
-    pool.note_peer(instance_id("p"), {{limited, 40, 0}});
+    pool.note_peer(instance_id("p"), {{limited, 40, 0}}, start);
     REQUIRE(pool.note_rate({limited, 2.0, start}, 5));
     int sent = 0;
     for (time_point now = start; now < start + 3s; now += 10ms)
