Change: [Routing] only engines are ruled out by their silence

Cause: a plain service may work on a request for longer than the silence that counts, which holds for engines; found by the author of the part.

--- a/src/serving/upstream_pool.cpp
+++ b/src/serving/upstream_pool.cpp
@@ -454,7 +454,12 @@
                               0, &item, silent});
     }
     std::size_t const reachable = candidates.size();
-    drop_silent(candidates, request, has_sound, now);
+    // A plain service may work on a request for longer than an engine is
+    // silent.
+    if (!request.m_model.empty())
+    {
+        drop_silent(candidates, request, has_sound, now);
+    }
     has_other_obstacle = has_other_obstacle || candidates.size() < reachable;
     best.m_candidates = candidates.size();
     if (has_other_obstacle || !candidates.empty())
