Change: [Peer] the news carries no speeds, which nothing measures yet

The fields were agreed for a part that was not begun. They never were in a landed build, so that their numbers are free. peer_test passes (messages of earlier builds both ways).

--- a/include/daisylead/serving/fleet_news_type.hpp
+++ b/include/daisylead/serving/fleet_news_type.hpp
@@ -68,23 +68,13 @@
     double m_granted = 0;      ///< share of the receiver, from its relay
 };
 
-/** Measured speed of the upstream at one position of the upstream list. */
-struct position_speed
-{
-    std::uint16_t m_position = 0; ///< index in the list, see load_news
-    float m_slowness = 1; ///< time of its answers relative to its service's
-    std::uint16_t m_samples = 0; ///< answers that the estimate rests on
-    std::uint16_t m_age_ms = 0;  ///< of the newest of them
-};
-
-/** Requests in flight, rate limits and speeds by position in the upstream list,
- *  which is sorted by id. */
+/** Requests in flight and rate limits by position in the upstream list, which
+ * is sorted by id. */
 struct load_news
 {
     std::uint64_t m_list_digest = 0; ///< digest of that list
     std::vector<position_load> m_loads;
     std::vector<position_rate> m_rates;
-    std::vector<position_speed> m_speeds;
 };
 
 /** Difference between two upstream lists of service discovery. */
--- a/src/peer/codec.cpp
+++ b/src/peer/codec.cpp
@@ -401,28 +401,6 @@
     }
 }
 
-void encode_speeds(serving::load_news const& load,
-                   wire::LoadNews::Builder target)
-{
-    if (load.m_speeds.empty())
-    {
-        return;
-    }
-    unsigned const size = size_of(load.m_speeds);
-    auto positions = target.initSpeedPositions(size);
-    auto slownesses = target.initSlownesses(size);
-    auto samples = target.initSpeedSamples(size);
-    auto ages = target.initSpeedAgesMs(size);
-    for (unsigned i = 0; i < size; ++i)
-    {
-        serving::position_speed const& speed = load.m_speeds[i];
-        positions.set(i, speed.m_position);
-        slownesses.set(i, speed.m_slowness);
-        samples.set(i, speed.m_samples);
-        ages.set(i, speed.m_age_ms);
-    }
-}
-
 void encode_load(serving::load_news const& load, wire::LoadNews::Builder target)
 {
     target.setListDigest(load.m_list_digest);
@@ -439,7 +417,6 @@
         silences.set(i, load.m_loads[i].m_silence_ms);
     }
     encode_rates(load, target);
-    encode_speeds(load, target);
 }
 
 void encode_changes(serving::upstream_changes const& changes,
@@ -843,28 +820,6 @@
     return use;
 }
 
-void decode_speeds(wire::LoadNews::Reader source, serving::load_news& load)
-{
-    auto const positions = source.getSpeedPositions();
-    auto const slownesses = source.getSlownesses();
-    auto const samples = source.getSpeedSamples();
-    auto const ages = source.getSpeedAgesMs();
-    if (positions.size() != slownesses.size() ||
-        positions.size() != samples.size() || positions.size() != ages.size())
-    {
-        throw error("a peer's speeds have lists of different lengths");
-    }
-    for (unsigned i = 0; i < positions.size(); ++i)
-    {
-        if (!std::isfinite(slownesses[i]) || slownesses[i] <= 0)
-        {
-            throw error("a peer's speed is not a positive number");
-        }
-        load.m_speeds.push_back(
-            {positions[i], slownesses[i], samples[i], ages[i]});
-    }
-}
-
 serving::load_news decode_load(wire::LoadNews::Reader source)
 {
     serving::load_news load;
@@ -884,7 +839,6 @@
         load.m_loads.push_back({positions[i], requests[i], tokens[i],
                                 has_silences ? silences[i] : std::uint16_t{0}});
     }
-    decode_speeds(source, load);
     auto const rate_positions = source.getRatePositions();
     auto const per_second = source.getRatesPerSecond();
     auto const ages = source.getRateAgesMs();
--- a/src/peer/peer.capnp
+++ b/src/peer/peer.capnp
@@ -202,9 +202,8 @@
   totals @1 :List(Int64);
 }
 
-# The lists of one load have the same length, and so have those of the rates and
-# of the speeds. A negative rate says that the limit ended. Earlier builds send
-# no silences.
+# The lists of one load have the same length, and so have those of the rates. A
+# negative rate says that the limit ended. Earlier builds send no silences.
 struct LoadNews {
   listDigest @0 :UInt64;
   positions @1 :List(UInt16);
@@ -215,10 +214,6 @@
   rateAgesMs @6 :List(UInt32);
   ratesGranted @7 :List(Float32);
   silencesMs @8 :List(UInt16);
-  speedPositions @9 :List(UInt16);
-  slownesses @10 :List(Float32);
-  speedSamples @11 :List(UInt16);
-  speedAgesMs @12 :List(UInt16);
 }
 
 struct UpstreamRecord {
