--- a/tests/process/caller_crowd_test.cpp
+++ b/tests/process/caller_crowd_test.cpp
@@ -26,7 +26,7 @@
 constexpr int memory_mb = 40;
 
 /** Descriptors of the machine in the settings of the process. */
-constexpr int max_descriptors = 64;
+constexpr std::size_t max_descriptors = 64;
 
 constexpr std::size_t crowd_size = 16;
 
--- a/tests/serving/zone_balance_test.cpp
+++ b/tests/serving/zone_balance_test.cpp
@@ -138,6 +138,7 @@
     {
         double const at = i * 0.05;
         std::vector<double> demand;
+        demand.reserve(3);
         for (int zone = 0; zone < 3; ++zone)
         {
             demand.push_back(
