Fix: [Entry] a stream that ends inside an event is not complete

Cause: answer_stream() looked for an incomplete event only where the answer ended with its connection; with chunks or a length it wrote the incomplete event and the end. Ruled out: an end of the chunks that Beast makes up (the upstream writes the last chunk itself), and a loss between splitter and caller (the half event reaches the caller).

Change: the splitter reads lines, with all three kinds of line ends, and says whether the stream is inside an event or an unfinished line. Such an end is a failed attempt, whatever the framing; so is a stream without any event, except with HEAD and 204. Whole comment lines and blank lines at the end are passed on as before. Answers of another media type end by their framing as before.

Why it works: an event is dispatched at its blank line only, so no caller loses an event that was complete, and the next upstream is asked for what follows the last complete one.

Where else: the relay of daisylead asks for the end mark of the stream. A tunnel without a length proves no end and is handled in http_connection.

Two checks of stream_test.cpp asked has_partial(), which nothing else uses any more: they ask is_inside_event() and for no buffered bytes now, which is as strict.

--- a/src/entry/request_attempt.cpp
+++ b/src/entry/request_attempt.cpp
@@ -68,6 +68,13 @@
     return type;
 }
 
+/** @return whether an answer of a media type to a stream request is a series of
+ *          events. */
+bool may_hold_events(std::string const& type)
+{
+    return type.empty() || type == "text/event-stream";
+}
+
 /** @return whether a status promises a caller that its request has not run. */
 bool promises_not_run(int status)
 {
@@ -537,6 +544,9 @@
     int const status = upstream.status();
     http::fields fields = upstream.header();
     bool const ends_with_connection = upstream.ends_with_connection();
+    bool const is_event_stream = may_hold_events(media_type(fields));
+    bool const has_body = m_request.method() != http::verb::head &&
+                          status != static_cast<int>(http::status::no_content);
     remove_connection_fields(fields);
     m_splitter.drop_partial();
     std::string bytes;
@@ -555,11 +565,18 @@
                 : after_failure(true, "stream_broke_off");
         }
         bool const ended = bytes.empty();
-        if (ended && m_splitter.has_partial() && ends_with_connection)
+        // The framing alone does not show that the last event is whole.
+        if (ended && m_splitter.is_inside_event() &&
+            (is_event_stream || ends_with_connection))
         {
             upstream.abort();
             co_return after_failure(true, "stream_cut");
         }
+        if (ended && is_event_stream && has_body && !m_splitter.has_event())
+        {
+            upstream.abort();
+            co_return after_failure(true, "stream_without_event");
+        }
         std::string const whole =
             ended ? m_splitter.partial() : m_splitter.take(bytes);
         if (m_splitter.is_out_of_order())
@@ -567,7 +584,7 @@
             upstream.abort();
             co_return after_failure(true, "events_out_of_order");
         }
-        if (ended && m_splitter.lacks_event() && !m_splitter.has_partial())
+        if (ended && m_splitter.lacks_event())
         {
             upstream.abort();
             co_return after_failure(true, "stream_cut");
--- a/src/serving/event_splitter.cpp
+++ b/src/serving/event_splitter.cpp
@@ -5,6 +5,7 @@
 #include <charconv>
 #include <cstdint>
 #include <optional>
+#include <utility>
 
 namespace daisylead::serving
 {
@@ -12,50 +13,19 @@
 namespace
 {
 
-/** @return position after the first blank line from @p from, or npos. */
-std::size_t end_of_event(std::string const& text, std::size_t from)
+/** @return the id that a line sets, or nothing if it sets none. */
+std::optional<std::string> id_in_line(std::string_view line)
 {
-    for (std::size_t at = text.find('\n', from); at != std::string::npos;
-         at = text.find('\n', at + 1))
+    if (!line.starts_with("id:"))
     {
-        std::size_t next = at + 1;
-        if (next < text.size() && text[next] == '\r')
-        {
-            ++next;
-        }
-        if (next < text.size() && text[next] == '\n')
-        {
-            return next + 1;
-        }
+        return std::nullopt;
     }
-    return std::string::npos;
-}
-
-/** @return value of the last "id" field of an event, or empty. */
-std::string id_of(std::string_view event)
-{
-    std::string id;
-    while (!event.empty())
+    line.remove_prefix(3);
+    if (line.starts_with(' '))
     {
-        std::size_t const end = event.find('\n');
-        std::string_view line = event.substr(0, end);
-        event.remove_prefix(end == std::string_view::npos ? event.size()
-                                                          : end + 1);
-        if (line.ends_with('\r'))
-        {
-            line.remove_suffix(1);
-        }
-        if (line.starts_with("id:"))
-        {
-            line.remove_prefix(3);
-            if (line.starts_with(' '))
-            {
-                line.remove_prefix(1);
-            }
-            id = line;
-        }
+        line.remove_prefix(1);
     }
-    return id;
+    return std::string(line);
 }
 
 /** Maximum size of the id of an event, bytes; ids are numbers or short
@@ -98,36 +68,124 @@
     m_out_of_order = false;
     m_invalid_event = false;
     std::size_t done = 0;
-    for (std::size_t end = end_of_event(m_partial, 0); end != std::string::npos;
-         end = end_of_event(m_partial, done))
+    if (m_line_feed_due && !m_partial.empty())
     {
-        std::string id =
-            id_of(std::string_view(m_partial).substr(done, end - done));
-        if (!is_valid_id(id))
+        m_line_feed_due = false;
+        if (m_partial.front() == '\n')
         {
-            std::string valid = m_partial.substr(0, done);
-            m_partial.clear();
-            m_cut_event = true;
-            m_invalid_event = true;
-            return valid;
+            m_line_start = m_scanned = done = 1;
         }
-        if (!id.empty())
+    }
+    while (m_scanned < m_partial.size())
+    {
+        char const c = m_partial[m_scanned++];
+        if (c != '\n' && c != '\r')
+        {
+            continue;
+        }
+        std::string_view const line = std::string_view(m_partial).substr(
+            m_line_start, m_scanned - 1 - m_line_start);
+        if (c == '\r' && m_scanned < m_partial.size() &&
+            m_partial[m_scanned] == '\n')
+        {
+            ++m_scanned;
+        }
+        else if (c == '\r' && m_scanned == m_partial.size() && !line.empty())
+        {
+            // Its line feed may follow, which would look like a blank line.
+            --m_scanned;
+            break;
+        }
+        m_line_start = m_scanned;
+        if (!line.empty())
+        {
+            take_line(line);
+            continue;
+        }
+        if (!m_has_field && !m_has_comment)
         {
-            if (!m_resumes_after.empty() && !is_after(id, m_resumes_after))
-            {
-                m_out_of_order = true;
-                m_partial.clear();
-                return {};
-            }
-            m_resumes_after.clear();
-            m_last_id = std::move(id);
+            // A blank line by itself is not worth a write to the caller.
+            continue;
+        }
+        if (!end_event())
+        {
+            std::string valid =
+                m_out_of_order ? std::string() : m_partial.substr(0, done);
+            clear_partial();
+            return valid;
         }
-        m_cut_event = false;
-        done = end;
+        done = m_scanned;
+        m_line_feed_due = c == '\r' && m_partial[m_scanned - 1] == '\r' &&
+                          m_scanned == m_partial.size();
     }
     std::string whole = m_partial.substr(0, done);
     m_partial.erase(0, done);
+    m_scanned -= done;
+    m_line_start -= done;
     return whole;
 }
 
+void event_splitter::take_line(std::string_view line)
+{
+    if (line.starts_with(':'))
+    {
+        m_has_comment = true;
+        return;
+    }
+    m_has_field = true;
+    if (auto id = id_in_line(line))
+    {
+        m_event_id = std::move(*id);
+    }
+}
+
+bool event_splitter::end_event()
+{
+    m_has_comment = false;
+    if (!m_has_field)
+    {
+        return true;
+    }
+    std::string id = std::exchange(m_event_id, {});
+    m_has_field = false;
+    if (!is_valid_id(id))
+    {
+        m_cut_event = true;
+        m_invalid_event = true;
+        return false;
+    }
+    if (!id.empty())
+    {
+        if (!m_resumes_after.empty() && !is_after(id, m_resumes_after))
+        {
+            m_out_of_order = true;
+            return false;
+        }
+        m_resumes_after.clear();
+        m_last_id = std::move(id);
+    }
+    m_cut_event = false;
+    m_has_event = true;
+    return true;
+}
+
+bool event_splitter::is_inside_event() const
+{
+    auto const rest = std::string_view(m_partial).substr(m_line_start);
+    // A carriage return by itself ends a line too.
+    bool const is_comment = rest.starts_with(':') && rest.ends_with('\r');
+    return m_has_field || (!rest.empty() && !is_comment);
+}
+
+void event_splitter::clear_partial()
+{
+    m_partial.clear();
+    m_event_id.clear();
+    m_has_field = false;
+    m_has_comment = false;
+    m_line_feed_due = false;
+    m_scanned = 0;
+    m_line_start = 0;
+}
+
 } // namespace daisylead::serving
--- a/tests/serving/stream_test.cpp
+++ b/tests/serving/stream_test.cpp
@@ -12,7 +12,7 @@
     event_splitter cutter;
     CHECK(cutter.take("id: 1\ndata: a\n\nid: 2\nda") == "id: 1\ndata: a\n\n");
     CHECK(cutter.last_id() == "1");
-    CHECK(cutter.has_partial());
+    CHECK(cutter.is_inside_event());
     cutter.drop_partial();
     CHECK(cutter.take("id: 2\ndata: b\n\n") == "id: 2\ndata: b\n\n");
     CHECK(cutter.last_id() == "2");
@@ -29,7 +29,37 @@
     }
     CHECK(out == stream);
     CHECK(cutter.last_id() == "8");
-    CHECK_FALSE(cutter.has_partial());
+    CHECK(cutter.partial().empty());
+}
+
+TEST_CASE("events end with any kind of blank line, however the bytes come")
+{
+    // Guards against a line end that is split between two reads.
+    std::string const stream = "id: 1\rdata: a\r\rid: 2\r\ndata: b\r\n\r\n"
+                               ": c\n\n\nid: 3\ndata: d\n\r\nid: 4\r\n\r";
+    for (std::size_t size = 1; size <= stream.size(); ++size)
+    {
+        CAPTURE(size);
+        event_splitter cutter;
+        std::string out;
+        for (std::size_t at = 0; at < stream.size(); at += size)
+        {
+            out += cutter.take(std::string_view(stream).substr(at, size));
+        }
+        CHECK(out == stream);
+        CHECK(cutter.last_id() == "4");
+        CHECK_FALSE(cutter.is_inside_event());
+    }
+}
+
+TEST_CASE("the first event of a resumed stream has no line feed of the last")
+{
+    // Guards against a line feed that is taken for one that was due.
+    event_splitter cutter;
+    CHECK(cutter.take("id: 1\r\r") == "id: 1\r\r");
+    cutter.drop_partial();
+    CHECK(cutter.take("id: 2\n\n") == "id: 2\n\n");
+    CHECK(cutter.last_id() == "2");
 }
 
 namespace
