Fix: [Entry] an answer that is reset behind an upload is not complete

Cause: the kernel reports a reset once for each socket. Asio runs the ready writes of a descriptor before its reads, so the write of the request takes the error, and the read sees a plain end, which is the end of a body without a length. Ruled out: the parser (with a length or chunks the same end is an error), and an end that the upstream sent (it sends a reset only).

Change: ended_in_order() asks the kernel for the state of the connection and, if it is gone, the first error of the write. A reset behind an orderly end reaches writes as EPIPE, so that an upstream that ends its sending and never reads the rest is still believed.

Where else: answers of the store and of engines use the same connection class. Callers' requests have a length or chunks.

--- a/src/entry/http_connection.cpp
+++ b/src/entry/http_connection.cpp
@@ -2,6 +2,7 @@
 #include "http_connection.hpp"
 
 #include <daisylead/entry/boot_time_func.hpp>
+#include <daisylead/telemetry/log_func.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -10,6 +11,7 @@
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
+#include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <charconv>
@@ -153,7 +155,8 @@
     m_request->prepare_payload();
     m_parser.reset();
     m_write_started = false;
-    m_write_complete = false;
+    m_write = {};
+    m_write.begin();
     m_stream.expires_after(timeout);
     asio::co_spawn(
         m_stream.get_executor(),
@@ -169,7 +172,7 @@
     co_await http::async_write(
         m_stream, *m_request,
         asio::redirect_error(asio::use_awaitable, failure));
-    m_write_complete = !failure;
+    m_write.end(failure);
     m_request->body() = {};
     m_body.reset();
 }
@@ -226,13 +229,26 @@
             co_return io_result::ok;
         }
     }
+    co_return m_parser->need_eof() ? co_await check_end() : io_result::ok;
+}
+
+awaitable<io_result> http_connection::check_end()
+{
     // The end of a tunnel does not show how the upstream's connection ended.
-    if (!m_way.m_tunnel.empty() && m_parser->need_eof())
+    bool const ended = m_way.m_tunnel.empty() &&
+                       co_await ended_in_order(m_stream.socket(), m_write);
+    if (ended)
     {
-        m_broken = true;
-        co_return io_result::broken;
+        co_return io_result::ok;
     }
-    co_return io_result::ok;
+    telemetry::log(telemetry::severity::info, "answer_without_end",
+                   {{"address", m_way.m_address},
+                    {"tunnel", m_way.m_tunnel},
+                    {"write_pending", m_write.is_pending()},
+                    {"write_error",
+                     m_write.failure() ? m_write.failure().message() : ""}});
+    m_broken = true;
+    co_return io_result::broken;
 }
 
 awaitable<io_result> http_connection::read_rest(std::string& bytes,
@@ -263,8 +279,9 @@
 {
     // If the request is not completely written, its remaining body bytes would
     // be read as the start of the next request.
-    if (m_broken || !m_write_complete || !m_parser || !m_parser->is_done() ||
-        !m_parser->get().keep_alive() || m_buffer.size() > 0)
+    if (m_broken || m_write.is_pending() || m_write.failure() || !m_parser ||
+        !m_parser->is_done() || !m_parser->get().keep_alive() ||
+        m_buffer.size() > 0)
     {
         return 0ms;
     }
--- a/src/entry/http_connection.hpp
+++ b/src/entry/http_connection.hpp
@@ -1,6 +1,8 @@
 /** @file HTTP client connection and connection pool. */
 #pragma once
 
+#include "connection_end.hpp"
+
 #include <daisylead/entry/adapter_type.hpp>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -143,6 +145,8 @@
 private:
     awaitable<connect_result> open_tunnel();
     awaitable<void> write();
+    /** @return how an answer that ends with its connection has ended. */
+    awaitable<io_result> check_end();
 
     beast::tcp_stream m_stream;
     http_route m_way;
@@ -152,7 +156,7 @@
     std::optional<http::request<http::span_body<char const>>> m_request;
     std::optional<http::response_parser<http::buffer_body>> m_parser;
     bool m_write_started = false;
-    bool m_write_complete = false;
+    write_progress m_write; ///< of the request
     int m_answers = 0;
     bool m_broken = false;
     char m_chunk[8192];
--- a/tests/entry/stand_in.cpp
+++ b/tests/entry/stand_in.cpp
@@ -413,6 +413,35 @@
     ::shutdown(m_descriptor, SHUT_RDWR);
 }
 
+bool served_connection::read_bytes(std::size_t size) const
+{
+    char bytes[4096];
+    while (size > 0)
+    {
+        ssize_t const got =
+            ::recv(m_descriptor, bytes, std::min(size, sizeof bytes), 0);
+        if (got <= 0)
+        {
+            return false;
+        }
+        size -= static_cast<std::size_t>(got);
+    }
+    return true;
+}
+
+void served_connection::end_sending() const
+{
+    ::shutdown(m_descriptor, SHUT_WR);
+}
+
+void served_connection::reset() const
+{
+    // The descriptor stays valid for a thread that ends the connection.
+    sockaddr none{};
+    none.sa_family = AF_UNSPEC;
+    static_cast<void>(::connect(m_descriptor, &none, sizeof none));
+}
+
 stalled_caller::stalled_caller(std::string const& address,
                                std::string const& bytes)
     : m_descriptor(connect_to(address, 4096))
--- a/tests/entry/stand_in.hpp
+++ b/tests/entry/stand_in.hpp
@@ -52,6 +52,16 @@
     /** Ends the connection while it is served. */
     void shut_down() const;
 
+    /** Reads bytes that are no part of a request any more.
+     *  @return whether so many came before the connection ended */
+    bool read_bytes(std::size_t size) const;
+
+    /** Ends the sending side; the connection stays open. */
+    void end_sending() const;
+
+    /** Ends the connection by a reset; bytes that wait to be read are lost. */
+    void reset() const;
+
 private:
     int m_descriptor;
     std::string m_buffer;
