--- a/src/entry/tunnel_server.cpp
+++ b/src/entry/tunnel_server.cpp
@@ -5,20 +5,16 @@
 #include "http_connection.hpp"
 #include "keep_running_func.hpp"
 #include "pause_func.hpp"
+#include "tunnel_pipe.hpp"
 
 #include <daisylead/telemetry/log_func.hpp>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/read.hpp>
 #include <nlohmann/json.hpp>
 
-#include <netinet/tcp.h>
-
 namespace daisylead::entry
 {
 
@@ -41,41 +37,9 @@
 /** Maximum size of the CONNECT request, bytes. */
 constexpr std::uint32_t max_request_size = 1024;
 
-/** Size of the buffer of each direction, bytes. */
-constexpr std::size_t buffer_size = 8192;
-
 /** Delay after a failed accept. */
 constexpr std::chrono::milliseconds accept_retry_delay = 50ms;
 
-/** Keep-alive probes: a far end that is gone without a word is noticed after
- *  about five seconds. */
-constexpr int keep_alive_idle_s = 2;
-constexpr int keep_alive_interval_s = 1;
-constexpr int keep_alive_probes = 3;
-
-void set_up(asio::ip::tcp::socket& socket)
-{
-    beast::error_code ignored;
-    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-    socket.set_option(asio::socket_base::keep_alive(true), ignored);
-    int const handle = socket.native_handle();
-    for (auto const& [option, value] :
-         {std::pair{TCP_KEEPIDLE, keep_alive_idle_s},
-          std::pair{TCP_KEEPINTVL, keep_alive_interval_s},
-          std::pair{TCP_KEEPCNT, keep_alive_probes}})
-    {
-        ::setsockopt(handle, IPPROTO_TCP, option, &value, sizeof value);
-    }
-}
-
-/** Closes a connection with a reset. */
-void reset(asio::ip::tcp::socket& socket)
-{
-    beast::error_code ignored;
-    socket.set_option(asio::socket_base::linger(true, 0), ignored);
-    socket.close(ignored);
-}
-
 std::string reply_with(int status)
 {
     return "HTTP/1.1 " + std::to_string(status) +
@@ -86,29 +50,6 @@
 
 } // namespace
 
-struct tunnel_server::tunnel
-{
-    tunnel(asio::any_io_executor const& executor, asio::ip::tcp::socket caller,
-           std::shared_ptr<std::size_t> open)
-        : m_caller(std::move(caller)), m_upstream(executor),
-          m_open(std::move(open))
-    {
-        ++*m_open;
-    }
-
-    ~tunnel()
-    {
-        --*m_open;
-    }
-
-    tunnel(tunnel const&) = delete;
-    tunnel& operator=(tunnel const&) = delete;
-
-    asio::ip::tcp::socket m_caller;
-    asio::ip::tcp::socket m_upstream;
-    std::shared_ptr<std::size_t> m_open;
-};
-
 tunnel_server::tunnel_server(asio::any_io_executor const& executor,
                              std::string const& address, fleet_state& state)
     : m_executor(executor), m_acceptor(make_acceptor(executor, address)),
@@ -197,8 +138,8 @@
                                      parser.get().target().size()));
     auto [status, reason] = check(remote.address(), id);
     stream.expires_never();
-    auto const pipe =
-        std::make_shared<tunnel>(m_executor, stream.release_socket(), m_open);
+    auto const pipe = std::make_shared<tunnel_pipe>(
+        m_executor, stream.release_socket(), m_open);
     if (status == 200)
     {
         serving::upstream_record const upstream =
@@ -216,7 +157,7 @@
         }
         else
         {
-            pipe->m_upstream = connecting.release_socket();
+            pipe->connect(connecting.release_socket());
         }
     }
     m_state.m_metrics.count("daisylead_tunnels_total",
@@ -228,68 +169,7 @@
                     {"status", status},
                     {"reason", reason},
                     {"open", *m_open}});
-    set_up(pipe->m_caller);
-    co_await asio::async_write(
-        pipe->m_caller, asio::buffer(reply_with(status)),
-        asio::redirect_error(asio::use_awaitable, failure));
-    if (status != 200 || failure)
-    {
-        pipe->m_caller.close(failure);
-        co_return;
-    }
-    set_up(pipe->m_upstream);
-    asio::co_spawn(m_executor, forward_answers(pipe), asio::detached);
-    co_await forward_requests(pipe);
-}
-
-awaitable<void> tunnel_server::forward_answers(std::shared_ptr<tunnel> pipe)
-{
-    char bytes[buffer_size];
-    beast::error_code failure;
-    while (!failure)
-    {
-        std::size_t const size = co_await pipe->m_upstream.async_read_some(
-            asio::buffer(bytes),
-            asio::redirect_error(asio::use_awaitable, failure));
-        if (failure == asio::error::eof)
-        {
-            // The peer reads the rest and then closes.
-            pipe->m_caller.shutdown(asio::socket_base::shutdown_send, failure);
-            co_return;
-        }
-        if (failure)
-        {
-            reset(pipe->m_caller);
-            break;
-        }
-        co_await asio::async_write(
-            pipe->m_caller, asio::buffer(bytes, size),
-            asio::redirect_error(asio::use_awaitable, failure));
-    }
-    beast::error_code ignored;
-    pipe->m_upstream.close(ignored);
-}
-
-awaitable<void> tunnel_server::forward_requests(std::shared_ptr<tunnel> pipe)
-{
-    char bytes[buffer_size];
-    beast::error_code failure;
-    while (!failure)
-    {
-        std::size_t const size = co_await pipe->m_caller.async_read_some(
-            asio::buffer(bytes),
-            asio::redirect_error(asio::use_awaitable, failure));
-        if (!failure)
-        {
-            co_await asio::async_write(
-                pipe->m_upstream, asio::buffer(bytes, size),
-                asio::redirect_error(asio::use_awaitable, failure));
-        }
-    }
-    // The peer has left or given up: the upstream must stop its work.
-    beast::error_code ignored;
-    pipe->m_upstream.close(ignored);
-    pipe->m_caller.close(ignored);
+    co_await pipe->run(reply_with(status), status == 200);
 }
 
 } // namespace daisylead::entry
--- a/src/entry/tunnel_server.hpp
+++ b/src/entry/tunnel_server.hpp
@@ -30,15 +30,11 @@
     }
 
 private:
-    struct tunnel;
-
     awaitable<void> accept_loop();
     awaitable<void> serve(boost::asio::ip::tcp::socket socket);
     /** @return the status of a refusal with its reason, or 200. */
     std::pair<int, std::string> check(boost::asio::ip::address const& caller,
                                       upstream_id const& id) const;
-    static awaitable<void> forward_answers(std::shared_ptr<tunnel> pipe);
-    static awaitable<void> forward_requests(std::shared_ptr<tunnel> pipe);
 
     boost::asio::any_io_executor m_executor;
     boost::asio::ip::tcp::acceptor m_acceptor;
