Fix: [Tunnel] a reset that the tunnel's write takes reaches the peer

What peers saw: an end in order, though the upstream had reset its connection while a request was written. Peers throw away what ends with a tunnel, so no caller has seen it; but the end of a tunnel could prove nothing.

Change: the tunnel asks ended_in_order() at the upstream's end. A failed write ends the writing only; the rest of the request is read and dropped.

--- a/src/entry/tunnel_pipe.cpp
+++ b/src/entry/tunnel_pipe.cpp
@@ -98,8 +98,7 @@
             asio::redirect_error(asio::use_awaitable, failure));
         if (failure == asio::error::eof)
         {
-            // The peer reads the rest and then closes.
-            m_caller.shutdown(asio::socket_base::shutdown_send, failure);
+            co_await end_answers();
             co_return;
         }
         if (failure)
@@ -115,6 +114,19 @@
     m_upstream.close(ignored);
 }
 
+asio::awaitable<void> tunnel_pipe::end_answers()
+{
+    error_code ignored;
+    if (co_await ended_in_order(m_upstream, m_to_upstream))
+    {
+        // The peer reads the rest and then closes.
+        m_caller.shutdown(asio::socket_base::shutdown_send, ignored);
+        co_return;
+    }
+    reset(m_caller);
+    m_upstream.close(ignored);
+}
+
 asio::awaitable<void> tunnel_pipe::forward_requests()
 {
     char bytes[buffer_size];
@@ -124,11 +136,16 @@
         std::size_t const size = co_await m_caller.async_read_some(
             asio::buffer(bytes),
             asio::redirect_error(asio::use_awaitable, failure));
-        if (!failure)
+        // After a failed write the rest is read and dropped: how the answer
+        // ends is for forward_answers() to tell.
+        if (!failure && !m_to_upstream.failure())
         {
+            error_code write_failure;
+            m_to_upstream.begin();
             co_await asio::async_write(
                 m_upstream, asio::buffer(bytes, size),
-                asio::redirect_error(asio::use_awaitable, failure));
+                asio::redirect_error(asio::use_awaitable, write_failure));
+            m_to_upstream.end(write_failure);
         }
     }
     // The peer has left or given up: the upstream must stop its work.
--- a/src/entry/tunnel_pipe.hpp
+++ b/src/entry/tunnel_pipe.hpp
@@ -1,6 +1,8 @@
 /** @file The two connections of one tunnel. */
 #pragma once
 
+#include "connection_end.hpp"
+
 // Boost 1.74's awaitable.hpp uses <utility> without including it.
 #include <utility>
 
@@ -44,10 +46,13 @@
 private:
     boost::asio::awaitable<void> forward_answers();
     boost::asio::awaitable<void> forward_requests();
+    /** The upstream has ended: the peer sees an end or a reset. */
+    boost::asio::awaitable<void> end_answers();
 
     boost::asio::any_io_executor m_executor;
     socket m_caller;
     socket m_upstream;
+    write_progress m_to_upstream; ///< all writes to the upstream
     std::shared_ptr<std::size_t> m_open;
 };
 
