Fix: [HTTP] bytes that are no answer are none for daisylead either

What callers saw (MIXED, reported by the users for other systems): answers whose field names held a blank, a tab or a control byte, or statuses such as 600, came as answers; for "Transfer-Encoding : chunked" the framing came as the body.

Cause: libcurl hands over the lines of a head unchecked, and parse_header_line() looked for a colon only. Ruled out: a lenient mode of ours (no such option is set), and statuses below 100, which libcurl refuses by itself.

Change: answer_head_func.hpp holds the grammar of heads and trailers (RFC 9110 and 9112) and the fields that tell where a body ends. The client checks each line with it; a line that fails ends the transfer as broken, with the reason in its message.

Why it works: each line of a head and a trailer passes the header hook before the body or the end of the transfer is reported.

Before: http_test, 31 of 353 checks failed, all of 52 invalid heads. After: all pass. A reset behind an upload of 4,000,000 bytes was no answer before either (24 of 24). base_test compares the grammar with one written as regular expressions: each byte in four positions, and random bytes (3497 checks).

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -1,4 +1,5 @@
 /** @file HTTP client on libcurl's multi interface. */
+#include <daisylead/base/answer_head_func.hpp>
 #include <daisylead/http/client_base.hpp>
 
 #include <curl/curl.h>
@@ -42,42 +43,70 @@
     CURL* m_easy = nullptr;
     curl_slist* m_header_list = nullptr;
     header_list m_received;
+    answer_fields_check m_fields_check;
+    std::string_view m_fault; ///< why what came is no answer; empty: none
+    bool m_is_final = false;  ///< the head is that of the final answer
     bool m_headers_reported = false;
     bool m_paused = false; ///< the data hook stopped it
     std::chrono::steady_clock::time_point m_last_byte; ///< or its start
 };
 
-bool is_header_name_end(char c)
+std::string_view trim_blanks(std::string_view value)
 {
-    return c == ':';
+    while (!value.empty() && (value.front() == ' ' || value.front() == '\t'))
+    {
+        value.remove_prefix(1);
+    }
+    while (!value.empty() && (value.back() == ' ' || value.back() == '\t'))
+    {
+        value.remove_suffix(1);
+    }
+    return value;
 }
 
-void parse_header_line(transfer& item, std::string_view line)
+/** @return a line of a head without its line end. */
+std::string_view trim_line_end(std::string_view line)
 {
-    if (line.starts_with("HTTP/"))
+    if (line.ends_with('\n'))
     {
-        item.m_received.clear();
-        return;
+        line.remove_suffix(1);
     }
-    auto const colon =
-        std::find_if(line.begin(), line.end(), is_header_name_end);
-    if (colon == line.end())
+    if (line.ends_with('\r'))
     {
-        return;
+        line.remove_suffix(1);
     }
-    auto const length = static_cast<std::size_t>(colon - line.begin());
-    std::string_view value = line.substr(length + 1);
-    while (!value.empty() && (value.front() == ' ' || value.front() == '\t'))
+    return line;
+}
+
+void begin_head(transfer& item, std::string_view line)
+{
+    item.m_received.clear();
+    item.m_fields_check = {};
+    int const status = parse_status_line(line).value_or(0);
+    item.m_is_final = is_final_status(status);
+    if (!item.m_is_final && !is_interim_status(status))
     {
-        value.remove_prefix(1);
+        item.m_fault = "status line";
     }
-    while (!value.empty() && (value.back() == '\r' || value.back() == '\n' ||
-                              value.back() == ' '))
+}
+
+/** Takes a line of the head or of the trailer. libcurl itself accepts names
+ *  and values that no field may have. */
+void take_field(transfer& item, std::string_view line)
+{
+    std::size_t const colon = line.find(':');
+    // A line that begins with a blank would go on with the one before.
+    if (colon == std::string_view::npos || line.starts_with(' ') ||
+        line.starts_with('\t'))
     {
-        value.remove_suffix(1);
+        item.m_fault = "line that is no field";
+        return;
     }
-    item.m_received.push_back(
-        {std::string(line.substr(0, length)), std::string(value)});
+    std::string_view const name = line.substr(0, colon);
+    std::string_view const value = trim_blanks(line.substr(colon + 1));
+    item.m_fields_check.add(name, value);
+    item.m_fault = item.m_fields_check.fault();
+    item.m_received.push_back({std::string(name), std::string(value)});
 }
 
 int http_status(CURL* easy)
@@ -100,15 +129,23 @@
                       void* user)
 {
     auto& item = *static_cast<transfer*>(user);
-    std::string_view const line(data, size * count);
-    parse_header_line(item, line);
     item.m_last_byte = std::chrono::steady_clock::now();
-    int const status = http_status(item.m_easy);
-    if (line == "\r\n" && status >= 200)
+    std::string_view const line =
+        trim_line_end(std::string_view(data, size * count));
+    if (line.starts_with("HTTP/"))
+    {
+        begin_head(item, line);
+    }
+    else if (!line.empty())
+    {
+        take_field(item, line);
+    }
+    else if (item.m_is_final)
     {
         report_headers(item);
     }
-    return size * count;
+    // Less than all bytes ends the transfer as broken.
+    return item.m_fault.empty() ? size * count : 0;
 }
 
 std::size_t on_body(char* data, std::size_t size, std::size_t count, void* user)
@@ -405,7 +442,14 @@
             CURLcode const code = message->data.result;
             transfer* item = nullptr;
             curl_easy_getinfo(easy, CURLINFO_PRIVATE, &item);
-            finish(item->m_id, to_status(code), curl_easy_strerror(code));
+            std::string const text =
+                item->m_fault.empty()
+                    ? curl_easy_strerror(code)
+                    : "no answer: " + std::string(item->m_fault);
+            finish(item->m_id,
+                   item->m_fault.empty() ? to_status(code)
+                                         : transfer_status::broken,
+                   text);
         }
     }
 
@@ -414,7 +458,7 @@
         finish(id, transfer_status::cancelled, "cancelled");
     }
 
-    void finish(transfer_id id, transfer_status status, char const* text)
+    void finish(transfer_id id, transfer_status status, std::string const& text)
     {
         auto const found = m_transfers.find(id);
         std::unique_ptr<transfer> item = std::move(found->second);
