Fix: [Entry] the entry instance checks itself what an answer is

Status 000 and bad names were refused, by the library's parser only, and no test held it there.

Cause: no check of our own. Ruled out: names, values and statuses below 100 at this reader, for whole answers, streams, answers of the store and peers' answers to CONNECT.

--- a/src/entry/http_connection.cpp
+++ b/src/entry/http_connection.cpp
@@ -1,6 +1,7 @@
 /** @file HTTP client connection and connection pool. */
 #include "http_connection.hpp"
 
+#include <daisylead/base/answer_head_func.hpp>
 #include <daisylead/entry/boot_time_func.hpp>
 #include <daisylead/telemetry/log_func.hpp>
 
@@ -62,6 +63,28 @@
                                             : io_result::broken;
 }
 
+/** @return why the fields of an answer are not valid, or an empty string. */
+std::string_view fault_of(http::fields const& fields)
+{
+    answer_fields_check check;
+    for (auto const& field : fields)
+    {
+        auto const name = field.name_string();
+        auto const value = field.value();
+        check.add({name.data(), name.size()}, {value.data(), value.size()});
+    }
+    return check.fault();
+}
+
+/** @return why a message is no answer, or an empty string. */
+std::string_view fault_of(response_header const& header)
+{
+    int const status = static_cast<int>(header.result_int());
+    return is_final_status(status) || is_interim_status(status)
+               ? fault_of(static_cast<http::fields const&>(header))
+               : "status";
+}
+
 } // namespace
 
 std::optional<asio::ip::tcp::endpoint>
@@ -135,7 +158,7 @@
             m_stream, m_buffer, answer,
             asio::redirect_error(asio::use_awaitable, failure));
     }
-    if (failure)
+    if (failure || !fault_of(answer.get().base()).empty())
     {
         co_return connect_result::no_tunnel;
     }
@@ -195,7 +218,11 @@
             m_broken = true;
             co_return to_io_result(failure);
         }
-        if (status() >= 200)
+        if (std::string_view const fault = fault_of(header()); !fault.empty())
+        {
+            co_return reject(fault);
+        }
+        if (is_final_status(status()))
         {
             ++m_answers;
             co_return io_result::ok;
@@ -205,6 +232,16 @@
     co_return io_result::broken;
 }
 
+io_result http_connection::reject(std::string_view fault)
+{
+    telemetry::log(telemetry::severity::info, "answer_not_valid",
+                   {{"address", m_way.m_address},
+                    {"tunnel", m_way.m_tunnel},
+                    {"fault", std::string(fault)}});
+    m_broken = true;
+    return io_result::broken;
+}
+
 awaitable<io_result> http_connection::read_some(std::string& bytes)
 {
     bytes.clear();
@@ -229,7 +266,14 @@
             co_return io_result::ok;
         }
     }
-    co_return m_parser->need_eof() ? co_await check_end() : io_result::ok;
+    if (m_parser->need_eof())
+    {
+        co_return co_await check_end();
+    }
+    // The trailer is parsed into the fields of the head.
+    std::string_view const fault =
+        m_parser->chunked() ? fault_of(header()) : std::string_view();
+    co_return fault.empty() ? io_result::ok : reject(fault);
 }
 
 awaitable<io_result> http_connection::check_end()
--- a/src/entry/http_connection.hpp
+++ b/src/entry/http_connection.hpp
@@ -19,6 +19,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace daisylead::entry
 {
@@ -145,6 +146,8 @@
 private:
     awaitable<connect_result> open_tunnel();
     awaitable<void> write();
+    /** Logs why what came is no answer. */
+    io_result reject(std::string_view fault);
     /** @return how an answer that ends with its connection has ended. */
     awaitable<io_result> check_end();
 
