Fix: [Tunnel] an answer without a length is whole after a tunnel that ended in order

Change: whatever closes a tunnel resets it; only an orderly end of the upstream is passed on as one. The reply to CONNECT says so with Tunnel-End, which earlier builds neither send nor read.

Ruled out: Asio's linger option, which its destructor takes back; the test "the peer ends" failed with it.

The test "an answer without a length that ends with a tunnel is not complete" held the former behaviour for an upstream that ends in order. Three take its place and are as strict where the end proves nothing: the upstream resets, the peer ends, the peer is of an earlier build.

--- a/src/entry/http_connection.cpp
+++ b/src/entry/http_connection.cpp
@@ -1,6 +1,8 @@
 /** @file HTTP client connection and connection pool. */
 #include "http_connection.hpp"
 
+#include "tunnel_pipe.hpp"
+
 #include <daisylead/base/answer_head_func.hpp>
 #include <daisylead/entry/boot_time_func.hpp>
 #include <daisylead/telemetry/log_func.hpp>
@@ -162,6 +164,7 @@
     {
         co_return connect_result::no_tunnel;
     }
+    m_tunnel_shows_end = answer.get()[tunnel_end_field] == tunnel_end_value;
     http::status const status = answer.get().result();
     co_return status == http::status::ok  ? connect_result::connected
     : status == http::status::bad_gateway ? connect_result::no_upstream
@@ -278,8 +281,9 @@
 
 awaitable<io_result> http_connection::check_end()
 {
-    // The end of a tunnel does not show how the upstream's connection ended.
-    bool const ended = m_way.m_tunnel.empty() &&
+    // The end of another tunnel does not show how the upstream's connection
+    // ended.
+    bool const ended = (m_way.m_tunnel.empty() || m_tunnel_shows_end) &&
                        co_await ended_in_order(m_stream.socket(), m_write);
     if (ended)
     {
--- a/src/entry/http_connection.hpp
+++ b/src/entry/http_connection.hpp
@@ -159,7 +159,8 @@
     std::optional<http::request<http::span_body<char const>>> m_request;
     std::optional<http::response_parser<http::buffer_body>> m_parser;
     bool m_write_started = false;
-    write_progress m_write; ///< of the request
+    write_progress m_write;          ///< of the request
+    bool m_tunnel_shows_end = false; ///< see tunnel_end_field
     int m_answers = 0;
     bool m_broken = false;
     char m_chunk[8192];
--- a/src/entry/tunnel_pipe.cpp
+++ b/src/entry/tunnel_pipe.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/write.hpp>
 
 #include <netinet/tcp.h>
+#include <sys/socket.h>
 
 namespace daisylead::entry
 {
@@ -43,12 +44,15 @@
     }
 }
 
-/** Closes a connection with a reset. */
-void reset(asio::ip::tcp::socket& socket)
+/** Whatever closes the connection, also the end of the process, resets it: only
+ *  end_answers() shows the peer an end. */
+void reset_on_close(asio::ip::tcp::socket& socket)
 {
-    error_code ignored;
-    socket.set_option(asio::socket_base::linger(true, 0), ignored);
-    socket.close(ignored);
+    // Asio takes back an option that was set through it when it destroys the
+    // socket.
+    linger const now{1, 0};
+    ::setsockopt(socket.native_handle(), SOL_SOCKET, SO_LINGER, &now,
+                 sizeof now);
 }
 
 } // namespace
@@ -79,6 +83,7 @@
         co_return;
     }
     set_up(m_upstream);
+    reset_on_close(m_caller);
     asio::co_spawn(
         m_executor,
         [self = shared_from_this()]() -> asio::awaitable<void>
@@ -103,7 +108,8 @@
         }
         if (failure)
         {
-            reset(m_caller);
+            error_code ignored;
+            m_caller.close(ignored);
             break;
         }
         co_await asio::async_write(
@@ -123,7 +129,7 @@
         m_caller.shutdown(asio::socket_base::shutdown_send, ignored);
         co_return;
     }
-    reset(m_caller);
+    m_caller.close(ignored);
     m_upstream.close(ignored);
 }
 
--- a/src/entry/tunnel_pipe.hpp
+++ b/src/entry/tunnel_pipe.hpp
@@ -17,9 +17,15 @@
 namespace daisylead::entry
 {
 
+/** Field in the reply to CONNECT by which a peer promises that its connection
+ *  ends in order only if that of the upstream has; builds without it may end it
+ *  in order at any time. */
+constexpr char const* tunnel_end_field = "Tunnel-End";
+constexpr char const* tunnel_end_value = "upstream";
+
 /** Forwards bytes between the connection of a peer and one to an upstream. The
- *  far end learns of a reset by a reset, so that a cut answer does not look
- *  complete. */
+ *  connection of the peer ends in order only if that of the upstream has, and
+ *  else by a reset, so that a cut answer does not look complete. */
 class tunnel_pipe : public std::enable_shared_from_this<tunnel_pipe>
 {
 public:
--- a/src/entry/tunnel_server.cpp
+++ b/src/entry/tunnel_server.cpp
@@ -43,9 +43,11 @@
 std::string reply_with(int status)
 {
     return "HTTP/1.1 " + std::to_string(status) +
-           (status == 200 ? " Connection established\r\n\r\n"
-                          : " Refused\r\nContent-Length: 0\r\n"
-                            "Connection: close\r\n\r\n");
+           (status == 200
+                ? std::string(" Connection established\r\n") +
+                      tunnel_end_field + ": " + tunnel_end_value + "\r\n\r\n"
+                : " Refused\r\nContent-Length: 0\r\n"
+                  "Connection: close\r\n\r\n");
 }
 
 } // namespace
--- a/src/entry/tunnel_server.hpp
+++ b/src/entry/tunnel_server.hpp
@@ -11,8 +11,7 @@
 
 /** Accepts HTTP CONNECT requests of peers and forwards bytes between them and
  *  upstreams. It reads no request and decides nothing about one; the peer does
- *  all that. The far end learns of a reset by a reset, so that a cut answer
- *  does not look complete. */
+ *  all that. */
 class tunnel_server
 {
 public:
