Fix: [Entry] answers that are read together stay within a budget

Cause: each answer had a bound, 4 MB, their sum had none. Ruled out: the framing (these are ordinary chunks), and what callers send, which has a budget.

Change: answer_limiter holds one budget for all answers, half of that for requests of callers.

Why it works: what is held never passes the budget, and each eviction frees room for the others.

--- a/src/entry/fleet_state.cpp
+++ b/src/entry/fleet_state.cpp
@@ -1,6 +1,8 @@
 /** @file State of the fleet as seen by one entry instance. */
 #include "fleet_state.hpp"
 
+#include "caller_limiter.hpp"
+
 #include <daisylead/serving/store_revision_func.hpp>
 #include <daisylead/telemetry/log_func.hpp>
 
@@ -20,6 +22,9 @@
 using namespace std::chrono_literals;
 using telemetry::severity;
 
+/** Part of the bytes of callers' requests that answers may hold besides. */
+constexpr std::size_t answer_memory_divisor = 2;
+
 /** A peer without an answer for this long is charged with its equal share of
  *  the limits; three intervals of news. */
 constexpr duration peer_silent_after = 1300ms;
@@ -148,7 +153,11 @@
       m_quarantine({quarantine_period}), m_part_quarantine({}),
       m_roster({}, self_as_member(settings, started), boot_time()),
       m_store_era_since(boot_time()), m_kv_stores(kv_store_silent_after),
-      m_executor(executor), m_started(boot_time()), m_saved(max_saved_prefixes)
+      m_executor(executor),
+      m_answers(std::make_shared<answer_limiter>(executor, metrics,
+                                                 bounds_for(settings).m_bytes /
+                                                     answer_memory_divisor)),
+      m_started(boot_time()), m_saved(max_saved_prefixes)
 {
 }
 
--- a/src/entry/fleet_state.hpp
+++ b/src/entry/fleet_state.hpp
@@ -1,6 +1,8 @@
 /** @file State of the fleet as seen by one entry instance. */
 #pragma once
 
+#include "answer_memory.hpp"
+
 #include <daisylead/config/entry_settings_type.hpp>
 #include <daisylead/entry/adapter_type.hpp>
 #include <daisylead/entry/boot_time_func.hpp>
@@ -253,6 +255,8 @@
     std::shared_ptr<std::size_t> m_active_requests =
         std::make_shared<std::size_t>(0);
     boost::asio::any_io_executor m_executor; ///< of the instance's thread
+    /** Shared with requests, which may outlive this object. */
+    std::shared_ptr<answer_limiter> m_answers;
 
 private:
     std::uint64_t m_unreadable_revision = 0; ///< last one that was logged
--- a/src/entry/http_connection.cpp
+++ b/src/entry/http_connection.cpp
@@ -300,7 +300,8 @@
 }
 
 awaitable<io_result> http_connection::read_rest(std::string& bytes,
-                                                std::size_t max_size)
+                                                std::size_t max_size,
+                                                answer_memory* held)
 {
     std::string part;
     for (;;)
@@ -314,12 +315,23 @@
         {
             co_return io_result::ok;
         }
-        bytes += part;
-        if (bytes.size() > max_size)
+        std::size_t const size = bytes.size() + part.size();
+        if (size > max_size)
         {
             m_broken = true;
             co_return io_result::broken;
         }
+        if (size > bytes.capacity())
+        {
+            std::size_t const grown =
+                std::min(std::max(size, 2 * bytes.capacity()), max_size);
+            if (held != nullptr && !co_await held->reserve(grown))
+            {
+                co_return reject("no room for it");
+            }
+            bytes.reserve(grown);
+        }
+        bytes += part;
     }
 }
 
--- a/src/entry/http_connection.hpp
+++ b/src/entry/http_connection.hpp
@@ -1,6 +1,7 @@
 /** @file HTTP client connection and connection pool. */
 #pragma once
 
+#include "answer_memory.hpp"
 #include "connection_end.hpp"
 
 #include <daisylead/entry/adapter_type.hpp>
@@ -118,8 +119,11 @@
     awaitable<io_result> read_some(std::string& bytes);
 
     /** Reads the rest of the body.
-     *  @param max_size bytes; a longer body counts as broken */
-    awaitable<io_result> read_rest(std::string& bytes, std::size_t max_size);
+     *  @param max_size bytes; a longer body counts as broken
+     *  @param held what the body takes; null: not accounted for. A body for
+     *         which there is no room counts as broken */
+    awaitable<io_result> read_rest(std::string& bytes, std::size_t max_size,
+                                   answer_memory* held = nullptr);
 
     /** @return whether the write of the request has started. */
     bool has_write_started() const
--- a/src/entry/request_attempt.cpp
+++ b/src/entry/request_attempt.cpp
@@ -38,6 +38,9 @@
  *  in each. */
 constexpr std::size_t max_event_size = 256 << 10;
 
+/** Minimum size of an incomplete event that is accounted for, bytes. */
+constexpr std::size_t min_held_event = 16 << 10;
+
 /** Maximum number of late answers to earlier requests that are skipped on a
  *  reused connection. */
 constexpr int max_late_answers = 2;
@@ -165,6 +168,10 @@
 void request_runner::return_connection()
 {
     m_silence_watch.reset();
+    if (m_held)
+    {
+        m_held->note_complete();
+    }
     m_connector.put(std::exchange(m_upstream, nullptr));
 }
 
@@ -276,6 +283,8 @@
     m_upstream->begin(std::move(message), m_body,
                       left + deadline_answer_margin);
 
+    m_held.emplace(m_state.m_answers, boot_time() + left,
+                   [connection = m_upstream] { connection->abort(); });
     m_silence_watch.emplace(
         m_silence_detector,
         watched_attempt{
@@ -307,10 +316,10 @@
             break;
         }
         std::string skipped;
-        read_result =
-            late < max_late_answers
-                ? co_await m_upstream->read_rest(skipped, max_answer_size)
-                : io_result::broken;
+        read_result = late < max_late_answers
+                          ? co_await m_upstream->read_rest(
+                                skipped, max_answer_size, &*m_held)
+                          : io_result::broken;
         if (read_result != io_result::ok)
         {
             break;
@@ -394,7 +403,8 @@
                 id, info.m_misdirected ? misdirected_pause : overload_pause,
                 boot_time());
             std::string rest;
-            read_result = co_await m_upstream->read_rest(rest, max_answer_size);
+            read_result =
+                co_await m_upstream->read_rest(rest, max_answer_size, &*m_held);
             if (read_result == io_result::ok)
             {
                 return_connection();
@@ -476,6 +486,7 @@
         }
     }
     m_silence_watch.reset();
+    m_held.reset();
     // An error answer does not show that the prompt can be processed.
     m_state.note_attempt_ended(current_attempt,
                                outcome == attempt_outcome::complete && !success
@@ -505,7 +516,7 @@
     answer.m_fields = upstream.header();
     remove_connection_fields(answer.m_fields);
     io_result const read_result =
-        co_await upstream.read_rest(answer.m_body, max_answer_size);
+        co_await upstream.read_rest(answer.m_body, max_answer_size, &*m_held);
     if (read_result != io_result::ok)
     {
         upstream.abort();
@@ -537,6 +548,14 @@
            media_type(upstream.header()) == m_stream_type;
 }
 
+awaitable<bool> request_runner::hold_partial_event()
+{
+    std::size_t const size = m_splitter.partial().size();
+    // The buffer grows by doubling.
+    std::size_t const held = size > min_held_event ? 2 * size : 0;
+    co_return held == m_held->bytes() || co_await m_held->reserve(held);
+}
+
 awaitable<request_runner::next_action>
 request_runner::answer_stream(http_connection& upstream,
                               serving::upstream_record const& sender)
@@ -598,6 +617,11 @@
                 m_state.m_upstream_pool.note_bytes(*m_counted_at, boot_time());
             }
         }
+        if (!co_await hold_partial_event())
+        {
+            upstream.abort();
+            co_return after_failure(true, "no_memory_for_event");
+        }
         if (m_splitter.partial().size() > max_event_size)
         {
             upstream.abort();
--- a/src/entry/request_runner.cpp
+++ b/src/entry/request_runner.cpp
@@ -133,6 +133,7 @@
 void request_runner::end_failed_attempt()
 {
     m_silence_watch.reset();
+    m_held.reset();
     if (m_upstream)
     {
         m_upstream->abort();
--- a/src/entry/request_runner.hpp
+++ b/src/entry/request_runner.hpp
@@ -96,6 +96,9 @@
     awaitable<next_action>
     answer_stream(http_connection& upstream,
                   serving::upstream_record const& sender);
+    /** Accounts for the event that is not complete yet.
+     *  @return false if there is no room for it */
+    awaitable<bool> hold_partial_event();
     /** @return whether an answer has the status and media type of the stream
      *          that the caller receives. */
     bool continues_stream(http_connection const& upstream) const;
@@ -153,7 +156,8 @@
     std::optional<upstream_id> m_counted_at;
     bool m_answer_begun = false; ///< the current attempt has bytes of an answer
     std::optional<silence_detector::watch>
-        m_silence_watch; ///< of the current attempt
+        m_silence_watch;                 ///< of the current attempt
+    std::optional<answer_memory> m_held; ///< by the current attempt
     serving::event_splitter m_splitter;
     bool m_stream_begun = false; ///< header was sent to the caller
     std::string m_stream_type;   ///< media type in that header
