--- a/src/entry/answer_memory.cpp
+++ b/src/entry/answer_memory.cpp
@@ -64,7 +64,7 @@
     evicted.m_evicted = true;
     m_metrics.count("daisylead_answers_evicted_total", {});
     telemetry::log(telemetry::severity::warning, "answer_evicted",
-                   {{"reason", "memory"}, {"bytes", m_budget.used()}});
+                   {{"held_by_all", m_budget.used()}});
     evicted.m_abort();
 }
 
@@ -99,6 +99,9 @@
         }
         if (!m_limiter->m_budget.fits(bytes) || now >= until)
         {
+            telemetry::log(telemetry::severity::warning, "answer_without_room",
+                           {{"bytes", bytes},
+                            {"held_by_all", m_limiter->m_budget.used()}});
             co_return false;
         }
         m_limiter->evict_stalled(now);
--- a/src/entry/http_connection.cpp
+++ b/src/entry/http_connection.cpp
@@ -327,7 +327,8 @@
                 std::min(std::max(size, 2 * bytes.capacity()), max_size);
             if (held != nullptr && !co_await held->reserve(grown))
             {
-                co_return reject("no room for it");
+                m_broken = true;
+                co_return io_result::broken;
             }
             bytes.reserve(grown);
         }
