Fix: [Callers] bodies that come slowly do not shut out ordinary callers

Cause: a body of up to 57,344 bytes counts as small and could use the whole budget; a request without a body waited for room before its header was read. Any progress within 1 s kept a body in the budget. Ruled out: the connections (420 of 768) and the link.

Change: a quarter of the budget is kept for requests without a body, and while others wait for room and none is without progress, the body that has been read for longest leaves, from 2 s on.

Why it works: the share holds the overhead of as many requests as there may be connections, so that such a request never waits.

The options are new, so their tests could not fail before.

--- a/include/daisylead/serving/byte_budget_base.hpp
+++ b/include/daisylead/serving/byte_budget_base.hpp
@@ -18,8 +18,14 @@
     /** Part of the limit that only small requests may use. */
     double m_small_share = 0.125;
     std::size_t m_small_size = 65536; ///< bytes of a small request
+    /** Part of the limit that only requests without a body may use. */
+    double m_bodiless_share = 0;
+    std::size_t m_bodiless_size = 0; ///< bytes of a request without a body
     /** A request that was not read further for this long may have to leave. */
     duration m_stalled_after = std::chrono::seconds(1);
+    /** A request whose body is not complete after this time may have to leave
+     *  if no other one may; 0: never. */
+    duration m_slow_after{};
 };
 
 /** Identifies a request that holds bytes. */
@@ -30,7 +36,7 @@
 /** Bytes that the requests of callers hold. A request reserves what it needs
  *  before it is read. If nothing is left, its reading pauses, and the request
  *  that is largest among those without progress has to leave, unless it is
- *  complete.
+ *  complete; if all make progress, the one that has been read for longest.
  *
  *  Designed for many callers that send nearly all of a large body and stay
  *  connected. */
@@ -72,11 +78,13 @@
     struct holder_state
     {
         std::size_t m_bytes = 0;
+        time_point m_opened_at;
         time_point m_progress_at;
         bool m_complete = false;
     };
 
     std::size_t limit_for(std::size_t bytes) const;
+    std::optional<byte_holder> slowest(time_point now) const;
 
     byte_budget_options m_options;
     std::uint64_t m_last_id = 0;
--- a/src/entry/caller_limiter.cpp
+++ b/src/entry/caller_limiter.cpp
@@ -45,6 +45,14 @@
 constexpr std::size_t large_body_overhead = max_unparsed_size;
 constexpr std::size_t large_body = 65536 - request_overhead;
 
+/** Part of the budget that each connection finds for a request without a body:
+ *  request_overhead for as many connections as bounds_for() permits. */
+constexpr double bodiless_share = 0.25;
+
+/** Time after which the body of a request may have to leave although it makes
+ *  progress, so that callers that send slowly do not shut out the others. */
+constexpr duration slow_after = 2s;
+
 /** Interval of checks whether there is room again. */
 constexpr std::chrono::milliseconds room_check_interval = 20ms;
 
@@ -81,6 +89,16 @@
                : 0;
 }
 
+serving::byte_budget_options budget_options(std::size_t bytes)
+{
+    serving::byte_budget_options options;
+    options.m_limit = bytes;
+    options.m_bodiless_share = bodiless_share;
+    options.m_bodiless_size = request_overhead;
+    options.m_slow_after = slow_after;
+    return options;
+}
+
 } // namespace
 
 caller_bounds bounds_for(config::entry_settings const& settings)
@@ -111,7 +129,7 @@
     impl(asio::any_io_executor executor, telemetry::metrics& metrics,
          caller_bounds bounds)
         : m_executor(std::move(executor)), m_metrics(&metrics),
-          m_bounds(bounds), m_budget({bounds.m_bytes})
+          m_bounds(bounds), m_budget(budget_options(bounds.m_bytes))
     {
     }
 
--- a/src/serving/byte_budget.cpp
+++ b/src/serving/byte_budget.cpp
@@ -9,16 +9,29 @@
 byte_holder byte_budget::open(time_point now)
 {
     byte_holder const id{++m_last_id};
-    m_holders[id].m_progress_at = now;
+    holder_state& item = m_holders[id];
+    item.m_opened_at = now;
+    item.m_progress_at = now;
     return id;
 }
 
 std::size_t byte_budget::limit_for(std::size_t bytes) const
 {
-    auto const reserve = static_cast<std::size_t>(
-        static_cast<double>(m_options.m_limit) * m_options.m_small_share);
-    return bytes <= m_options.m_small_size ? m_options.m_limit
-                                           : m_options.m_limit - reserve;
+    auto const part = [this](double share)
+    {
+        return static_cast<std::size_t>(static_cast<double>(m_options.m_limit) *
+                                        share);
+    };
+    std::size_t limit = m_options.m_limit;
+    if (bytes > m_options.m_bodiless_size)
+    {
+        limit -= part(m_options.m_bodiless_share);
+    }
+    if (bytes > m_options.m_small_size)
+    {
+        limit -= part(m_options.m_small_share);
+    }
+    return limit;
 }
 
 bool byte_budget::fits(std::size_t bytes) const
@@ -88,7 +101,27 @@
             most = item.m_bytes;
         }
     }
-    return largest;
+    return largest ? largest : slowest(now);
+}
+
+std::optional<byte_holder> byte_budget::slowest(time_point now) const
+{
+    std::optional<byte_holder> oldest;
+    if (m_options.m_slow_after <= duration::zero())
+    {
+        return oldest;
+    }
+    time_point opened_at = now - m_options.m_slow_after;
+    for (auto const& [id, item] : m_holders)
+    {
+        if (!item.m_complete && item.m_bytes > m_options.m_bodiless_size &&
+            item.m_opened_at <= opened_at)
+        {
+            oldest = id;
+            opened_at = item.m_opened_at;
+        }
+    }
+    return oldest;
 }
 
 } // namespace daisylead::serving
--- a/tests/serving/byte_budget_test.cpp
+++ b/tests/serving/byte_budget_test.cpp
@@ -111,3 +111,61 @@
     }
     CHECK(budget.used() == 0);
 }
+
+namespace
+{
+
+byte_budget make_budget_for_callers()
+{
+    byte_budget_options options;
+    options.m_limit = 1'000'000;
+    options.m_bodiless_share = 0.25;
+    options.m_bodiless_size = 8192;
+    options.m_slow_after = 2s;
+    return byte_budget(options);
+}
+
+} // namespace
+
+TEST_CASE("requests without a body are read while bodies use their whole part")
+{
+    // Guards against callers without a body that wait behind a crowd of small
+    // bodies which come slowly.
+    byte_budget budget = make_budget_for_callers();
+    for (int i = 0; i < 12; ++i)
+    {
+        CHECK(budget.resize(budget.open(start), 62'500, start));
+    }
+    CHECK_FALSE(budget.resize(budget.open(start), 62'500, start));
+    for (int i = 0; i < 30; ++i)
+    {
+        CHECK(budget.resize(budget.open(start), 8192, start));
+    }
+    CHECK_FALSE(budget.resize(budget.open(start), 8192, start));
+}
+
+TEST_CASE("a body that comes slowly has to leave if no other one may")
+{
+    // Guards against a crowd that keeps its room by sending a piece now and
+    // then.
+    byte_budget budget = make_budget_for_callers();
+    byte_holder const bodiless = budget.open(start);
+    byte_holder const complete = budget.open(start);
+    byte_holder const slow = budget.open(start + 100ms);
+    byte_holder const slower = budget.open(start + 50ms);
+    budget.resize(bodiless, 8192, start);
+    for (byte_holder const holder : {complete, slow, slower})
+    {
+        budget.resize(holder, 20'000, start);
+    }
+    budget.note_complete(complete);
+    for (byte_holder const holder : {bodiless, slow, slower})
+    {
+        budget.note_progress(holder, start + 2s);
+    }
+    CHECK_FALSE(budget.stalled(start + 2s));
+    CHECK(budget.stalled(start + 2050ms) == slower);
+    budget.close(slower);
+    CHECK_FALSE(budget.stalled(start + 2090ms));
+    CHECK(budget.stalled(start + 2200ms) == slow);
+}
