Fix: [Entry] a stream that its caller resumes may have no event left

What callers would see: a caller that lost only the end of a stream resumes it after its last event, the upstream has nothing to add, and the request fails each time.

--- a/src/entry/request_attempt.cpp
+++ b/src/entry/request_attempt.cpp
@@ -564,8 +564,11 @@
     http::fields fields = upstream.header();
     bool const ends_with_connection = upstream.ends_with_connection();
     bool const is_event_stream = may_hold_events(media_type(fields));
-    bool const has_body = m_request.method() != http::verb::head &&
-                          status != static_cast<int>(http::status::no_content);
+    // All events may have come before the caller resumed the stream.
+    bool const needs_event =
+        is_event_stream && m_request.method() != http::verb::head &&
+        status != static_cast<int>(http::status::no_content) &&
+        m_description.m_last_event.empty();
     remove_connection_fields(fields);
     m_splitter.drop_partial();
     std::string bytes;
@@ -591,7 +594,7 @@
             upstream.abort();
             co_return after_failure(true, "stream_cut");
         }
-        if (ended && is_event_stream && has_body && !m_splitter.has_event())
+        if (ended && needs_event && !m_splitter.has_event())
         {
             upstream.abort();
             co_return after_failure(true, "stream_without_event");
