Codechange: [HTTP] one comparison of field names

Cause: answer_head.cpp compared names as http::same_header_name() did already. No change of behaviour: the latter calls the former, as the base package cannot call the HTTP one. An include that nothing needs is gone. Ruled out: media types, whose case is folded to compare them often.

--- a/include/daisylead/base/answer_head_func.hpp
+++ b/include/daisylead/base/answer_head_func.hpp
@@ -11,6 +11,9 @@
 /** @return whether a field may have the name: a token of RFC 9110, 5.6.2. */
 bool is_field_name(std::string_view name);
 
+/** @return whether two field names are the same. */
+bool is_same_field_name(std::string_view a, std::string_view b);
+
 /** @return whether a field may have the value: RFC 9110, 5.5, so no control
  *          byte but a tab. */
 bool is_field_value(std::string_view value);
--- a/src/base/answer_head.cpp
+++ b/src/base/answer_head.cpp
@@ -32,13 +32,6 @@
     return byte == '\t' || (byte >= 0x20 && byte != 0x7f);
 }
 
-bool is_same_name(std::string_view a, std::string_view b)
-{
-    return std::equal(a.begin(), a.end(), b.begin(), b.end(),
-                      [](unsigned char x, unsigned char y)
-                      { return std::tolower(x) == std::tolower(y); });
-}
-
 } // namespace
 
 bool is_field_name(std::string_view name)
@@ -47,6 +40,13 @@
            std::all_of(name.begin(), name.end(), is_token_char);
 }
 
+bool is_same_field_name(std::string_view a, std::string_view b)
+{
+    return std::equal(a.begin(), a.end(), b.begin(), b.end(),
+                      [](unsigned char x, unsigned char y)
+                      { return std::tolower(x) == std::tolower(y); });
+}
+
 bool is_field_value(std::string_view value)
 {
     return std::all_of(value.begin(), value.end(), is_text_char);
@@ -92,11 +92,11 @@
     {
         fail("field value");
     }
-    else if (is_same_name(name, "Transfer-Encoding"))
+    else if (is_same_field_name(name, "Transfer-Encoding"))
     {
         add_coding(value);
     }
-    else if (is_same_name(name, "Content-Length"))
+    else if (is_same_field_name(name, "Content-Length"))
     {
         add_length(value);
     }
@@ -104,7 +104,7 @@
 
 void answer_fields_check::add_coding(std::string_view value)
 {
-    if (m_has_coding || !is_same_name(value, "chunked"))
+    if (m_has_coding || !is_same_field_name(value, "chunked"))
     {
         fail("transfer coding");
     }
--- a/src/entry/connection_end.hpp
+++ b/src/entry/connection_end.hpp
@@ -8,8 +8,6 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/system/error_code.hpp>
 
-#include <string>
-
 namespace daisylead::entry
 {
 
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -1,17 +1,13 @@
 /** @file Access to header fields. */
+#include <daisylead/base/answer_head_func.hpp>
 #include <daisylead/http/message_type.hpp>
 
-#include <algorithm>
-#include <cctype>
-
 namespace daisylead::http
 {
 
 bool same_header_name(std::string_view a, std::string_view b)
 {
-    return std::equal(a.begin(), a.end(), b.begin(), b.end(),
-                      [](unsigned char x, unsigned char y)
-                      { return std::tolower(x) == std::tolower(y); });
+    return is_same_field_name(a, b);
 }
 
 std::optional<std::string> find_header(header_list const& headers,
