Codechange: [Tests] one upstream and one call of the store for three test files

Cause: cut_head_test.cpp, invalid_answer_test.cpp and upload_reset_test.cpp each had the same upstream that sends the next answer, or the same call by the client of the store.

Change: both are in stand_in.hpp. Left: the upstreams of stream_continuation_test.cpp and stream_end_test.cpp, whose routes differ.

--- a/tests/entry/cut_head_test.cpp
+++ b/tests/entry/cut_head_test.cpp
@@ -1,10 +1,6 @@
 /** @file Tests of answers whose header ends in its middle. */
 #include "stand_in.hpp"
 
-#include <daisylead/entry/http_caller_base.hpp>
-
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <catch2/catch.hpp>
 
 using namespace daisylead;
@@ -39,34 +35,6 @@
     return parts;
 }
 
-/** Bytes that an upstream sends next. */
-class next_answer
-{
-public:
-    void set(std::string bytes)
-    {
-        std::lock_guard const lock(m_mutex);
-        m_bytes = std::move(bytes);
-    }
-
-    /** Sends the bytes and ends the connection after each request. */
-    scripted_upstream::script script()
-    {
-        return [this](served_connection& connection)
-        {
-            if (!connection.read_request().empty())
-            {
-                std::lock_guard const lock(m_mutex);
-                connection.write(m_bytes);
-            }
-        };
-    }
-
-private:
-    std::mutex m_mutex;
-    std::string m_bytes;
-};
-
 } // namespace
 
 TEST_CASE("an answer whose header is cut never reaches a caller as a success")
@@ -116,22 +84,7 @@
         {
             CAPTURE(part);
             bytes.set(part);
-            boost::asio::io_context context;
-            entry::http_caller caller(context.get_executor());
-            std::optional<entry::http_answer> answer;
-            boost::asio::co_spawn(
-                context,
-                [&]() -> boost::asio::awaitable<void>
-                {
-                    entry::http_call call;
-                    call.m_address = store.address();
-                    call.m_target = "/rows";
-                    call.m_timeout = 1s;
-                    answer = co_await caller.call(call);
-                },
-                boost::asio::detached);
-            context.run();
-            CHECK_FALSE(answer);
+            CHECK_FALSE(call_store(store.address()));
         }
     }
 }
--- a/tests/entry/invalid_answer_test.cpp
+++ b/tests/entry/invalid_answer_test.cpp
@@ -4,8 +4,6 @@
 
 #include <entry/http_connection.hpp>
 
-#include <daisylead/entry/http_caller_base.hpp>
-
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <catch2/catch.hpp>
@@ -19,34 +17,6 @@
 
 std::string const own = "Id: a1\r\nSeal: s\r\n";
 
-/** Bytes that an upstream sends next. */
-class next_answer
-{
-public:
-    void set(std::string bytes)
-    {
-        std::lock_guard const lock(m_mutex);
-        m_bytes = std::move(bytes);
-    }
-
-    /** Sends the bytes and ends the connection after each request. */
-    scripted_upstream::script script()
-    {
-        return [this](served_connection& connection)
-        {
-            if (!connection.read_request().empty())
-            {
-                std::lock_guard const lock(m_mutex);
-                connection.write(m_bytes);
-            }
-        };
-    }
-
-private:
-    std::mutex m_mutex;
-    std::string m_bytes;
-};
-
 std::string send(running_instance& instance)
 {
     return instance.exchange("POST /again/x HTTP/1.1\r\nHost: h\r\nId: a1\r\n"
@@ -125,22 +95,7 @@
     {
         CAPTURE(head.m_name);
         bytes.set(make_bytes(head, ""));
-        boost::asio::io_context context;
-        entry::http_caller caller(context.get_executor());
-        std::optional<entry::http_answer> answer;
-        boost::asio::co_spawn(
-            context,
-            [&]() -> boost::asio::awaitable<void>
-            {
-                entry::http_call call;
-                call.m_address = store.address();
-                call.m_target = "/rows";
-                call.m_timeout = 1s;
-                answer = co_await caller.call(call);
-            },
-            boost::asio::detached);
-        context.run();
-        CHECK_FALSE(answer);
+        CHECK_FALSE(call_store(store.address()));
     }
 }
 
--- a/tests/entry/stand_in.cpp
+++ b/tests/entry/stand_in.cpp
@@ -4,6 +4,8 @@
 #include <daisylead/base/error_type.hpp>
 #include <daisylead/entry/http_caller_base.hpp>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -442,6 +444,29 @@
     static_cast<void>(::connect(m_descriptor, &none, sizeof none));
 }
 
+std::optional<entry::http_answer> call_store(std::string const& address,
+                                             std::string const& body)
+{
+    boost::asio::io_context context;
+    entry::http_caller caller(context.get_executor());
+    std::optional<entry::http_answer> answer;
+    boost::asio::co_spawn(
+        context,
+        [&]() -> boost::asio::awaitable<void>
+        {
+            entry::http_call call;
+            call.m_address = address;
+            call.m_method = body.empty() ? "GET" : "POST";
+            call.m_target = "/rows";
+            call.m_body = body;
+            call.m_timeout = body.empty() ? 1s : 2s;
+            answer = co_await caller.call(call);
+        },
+        boost::asio::detached);
+    context.run();
+    return answer;
+}
+
 stalled_caller::stalled_caller(std::string const& address,
                                std::string const& bytes)
     : m_descriptor(connect_to(address, 4096))
--- a/tests/entry/stand_in.hpp
+++ b/tests/entry/stand_in.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <daisylead/entry/entry_instance_base.hpp>
+#include <daisylead/entry/http_caller_base.hpp>
 
 #include <atomic>
 #include <chrono>
@@ -9,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <thread>
@@ -109,6 +111,40 @@
     std::thread m_acceptor;
 };
 
+/** Bytes that an upstream sends next. */
+class next_answer
+{
+public:
+    void set(std::string bytes)
+    {
+        std::lock_guard const lock(m_mutex);
+        m_bytes = std::move(bytes);
+    }
+
+    /** Sends the bytes and ends the connection after each request. */
+    scripted_upstream::script script()
+    {
+        return [this](served_connection& connection)
+        {
+            if (!connection.read_request().empty())
+            {
+                std::lock_guard const lock(m_mutex);
+                connection.write(m_bytes);
+            }
+        };
+    }
+
+private:
+    std::mutex m_mutex;
+    std::string m_bytes;
+};
+
+/** Calls the store with the client of an instance.
+ *  @param body sent by POST; empty: GET
+ *  @return its answer, if what came is one */
+std::optional<entry::http_answer> call_store(std::string const& address,
+                                             std::string const& body = "");
+
 /** A caller that reads nothing of its answer. */
 class stalled_caller
 {
--- a/tests/entry/upload_reset_test.cpp
+++ b/tests/entry/upload_reset_test.cpp
@@ -1,10 +1,6 @@
 /** @file Tests of upstreams that answer while a long request is written. */
 #include "stand_in.hpp"
 
-#include <daisylead/entry/http_caller_base.hpp>
-
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <catch2/catch.hpp>
 
 using namespace daisylead;
@@ -75,28 +71,6 @@
            std::string(upload_size, 'u');
 }
 
-std::optional<entry::http_answer> call_with_upload(std::string const& address)
-{
-    boost::asio::io_context context;
-    entry::http_caller caller(context.get_executor());
-    std::optional<entry::http_answer> answer;
-    boost::asio::co_spawn(
-        context,
-        [&]() -> boost::asio::awaitable<void>
-        {
-            entry::http_call call;
-            call.m_address = address;
-            call.m_method = "POST";
-            call.m_target = "/rows";
-            call.m_body = std::string(upload_size, 'u');
-            call.m_timeout = 2s;
-            answer = co_await caller.call(call);
-        },
-        boost::asio::detached);
-    context.run();
-    return answer;
-}
-
 } // namespace
 
 TEST_CASE("an answer that is reset behind an upload is not complete")
@@ -147,7 +121,8 @@
             answer_and_reset(how, "HTTP/1.1 200 OK\r\n\r\n{}"));
         for (int i = 0; i < runs; ++i)
         {
-            CHECK_FALSE(call_with_upload(store.address()));
+            CHECK_FALSE(
+                call_store(store.address(), std::string(upload_size, 'u')));
         }
     }
 }
