Add: [Entry] what a transfer of the configuration received, and how long it took

Nothing said how far a read of the store came before it failed, which calls of peers had asked for a document, how large a document is or how long decoding takes; a call for a document that failed left no line at all.

- document_not_received: peer, what was asked, time
- configuration_in_force: size and decode time as well
- metrics: bytes and time of store reads, failed calls of peers by what they asked, bytes of documents sent, decode time, size, version and age of the configuration

No logic is changed.

--- a/include/daisylead/entry/adapter_type.hpp
+++ b/include/daisylead/entry/adapter_type.hpp
@@ -92,6 +92,7 @@
 {
     serving::document m_document; ///< content
     time_point m_read_at;         ///< when the read was sent
+    std::size_t m_size = 0;       ///< bytes that the store sent
 };
 
 /** Result of a conditional write of the lease row. */
--- a/include/daisylead/entry/http_caller_base.hpp
+++ b/include/daisylead/entry/http_caller_base.hpp
@@ -4,6 +4,8 @@
 // Boost 1.74's awaitable.hpp uses <utility> without including it.
 #include <utility>
 
+#include <daisylead/base/unit_type.hpp>
+
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 
@@ -19,6 +21,14 @@
 namespace daisylead::entry
 {
 
+/** How far a call came. */
+struct call_progress
+{
+    std::size_t m_bytes = 0; ///< of the body of the answer
+    duration m_elapsed{};    ///< since the call began
+    std::string m_failure;   ///< empty: the answer is complete
+};
+
 /** One HTTP request. */
 struct http_call
 {
@@ -29,6 +39,8 @@
     std::vector<std::pair<std::string, std::string>> m_headers; ///< more fields
     std::chrono::milliseconds m_timeout{}; ///< of the whole call
     bool m_fresh = false; ///< use a new connection and close it afterwards
+    /** Called at the end of the call; may be empty. */
+    std::function<void(call_progress const&)> m_on_end;
 };
 
 /** Answer to a call. */
--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -159,6 +159,7 @@
     {
         if (path == "/metrics")
         {
+            m_state.update_gauges(boot_time());
             return {200, m_metrics.render()};
         }
         if (path == "/state")
--- a/src/entry/fleet_exchange.cpp
+++ b/src/entry/fleet_exchange.cpp
@@ -35,6 +35,17 @@
  *  change their choice. */
 constexpr double min_reported_load = 0.25;
 
+/** Of a message that requests no documents, see asked_parts(). */
+constexpr char const* asked_nothing = "nothing";
+
+/** @return the documents that a message requests, for logs and metrics. */
+std::string asked_parts(serving::fleet_news const& news)
+{
+    return news.m_wants_rules       ? "configuration"
+           : news.m_wants_upstreams ? "upstreams"
+                                    : asked_nothing;
+}
+
 serving::document_state make_document_state(std::uint64_t revision,
                                             std::uint64_t digest,
                                             std::optional<duration> age)
@@ -254,6 +265,7 @@
                           instance_id const& to)
 {
     time_point const sent_at = boot_time();
+    std::string const asked = asked_parts(news);
     auto const reported_use = m_state.from_totals(news.m_use);
     std::vector<serving::stream_digest> streams;
     streams.reserve(news.m_begun_streams.size());
@@ -264,14 +276,18 @@
     m_transport->send(
         address, {self().m_id, incarnation(self().m_started), std::move(news)},
         reply_timeout,
-        [this, to, sent_at, reported_use,
+        [this, address, to, sent_at, asked, reported_use,
          streams = std::move(streams)](std::optional<peer::message> reply)
         {
             asio::post(
                 m_executor,
-                [this, to, sent_at, reported_use, streams,
+                [this, address, to, sent_at, asked, reported_use, streams,
                  reply = std::move(reply)]
                 {
+                    if (!reply)
+                    {
+                        note_call_failed(address, asked, boot_time() - sent_at);
+                    }
                     auto const* const news =
                         reply ? std::get_if<serving::fleet_news>(&reply->m_body)
                               : nullptr;
@@ -305,6 +321,23 @@
         });
 }
 
+void fleet_exchange::note_call_failed(std::string const& address,
+                                      std::string const& asked,
+                                      duration elapsed)
+{
+    m_state.m_metrics.count("daisylead_peer_calls_failed_total",
+                            {{"asked", asked}});
+    if (asked != asked_nothing)
+    {
+        telemetry::log(
+            severity::warning, "document_not_received",
+            {{"address", address},
+             {"asked", asked},
+             {"elapsed_ms",
+              std::chrono::duration<double, std::milli>(elapsed).count()}});
+    }
+}
+
 void fleet_exchange::call(
     std::string const& address, peer::message_body body,
     std::function<void(std::optional<peer::message_body>)> on_reply)
@@ -542,6 +575,8 @@
     if (news.m_wants_rules)
     {
         reply.m_rules_document = m_state.m_rules.m_bytes;
+        m_state.m_metrics.count("daisylead_document_bytes_sent_total", {},
+                                reply.m_rules_document.size());
     }
     if (news.m_wants_upstreams && m_state.m_upstreams_read_at)
     {
--- a/src/entry/fleet_exchange.hpp
+++ b/src/entry/fleet_exchange.hpp
@@ -76,6 +76,9 @@
     serving::fleet_news make_news(serving::peer_state const* peer);
     void send(std::string const& address, serving::fleet_news news,
               instance_id const& to);
+    /** @param asked documents that the call requested */
+    void note_call_failed(std::string const& address, std::string const& asked,
+                          duration elapsed);
     void on_reply(serving::fleet_news const& reply, time_point sent_at);
     bool has_newer_rules(serving::fleet_news const& news) const;
     wanted_parts apply_documents(serving::fleet_news const& reply,
--- a/src/entry/fleet_state.cpp
+++ b/src/entry/fleet_state.cpp
@@ -194,8 +194,11 @@
         m_rules_freshness.note_read(document.m_revision, read_at);
         return;
     }
+    time_point const decode_began = boot_time();
     std::optional<serving::catalog> catalog =
         m_adapter.m_decode_rules(document.m_bytes);
+    duration const decode_time = boot_time() - decode_began;
+    m_metrics.observe("daisylead_configuration_decode_seconds", decode_time);
     if (!catalog)
     {
         telemetry::log(severity::warning, "configuration_unreadable",
@@ -236,6 +239,8 @@
                    {{"version", m_catalog->content().m_version.value()},
                     {"revision", m_rules.m_revision},
                     {"source", source},
+                    {"bytes", m_rules.m_bytes.size()},
+                    {"decode_ms", milliseconds_of(decode_time)},
                     {"read_age_ms", milliseconds_of(boot_time() - read_at)}});
 }
 
@@ -1070,6 +1075,20 @@
     m_saved.get_or_insert(prefix, boot_time()) = boot_time();
 }
 
+void fleet_state::update_gauges(time_point now) const
+{
+    m_metrics.set("daisylead_configuration_version",
+                  static_cast<double>(
+                      m_catalog ? m_catalog->content().m_version.value() : 0));
+    m_metrics.set("daisylead_configuration_bytes",
+                  static_cast<double>(m_rules.m_bytes.size()));
+    if (auto const age = m_rules_freshness.age(now))
+    {
+        m_metrics.set("daisylead_configuration_age_seconds",
+                      std::chrono::duration<double>(*age).count());
+    }
+}
+
 nlohmann::json fleet_state::dump(time_point now) const
 {
     nlohmann::json peers = nlohmann::json::array();
--- a/src/entry/fleet_state.hpp
+++ b/src/entry/fleet_state.hpp
@@ -215,6 +215,9 @@
     /** A peer has claimed the save of the prefix. */
     void note_saved(std::uint64_t prefix);
 
+    /** Sets the metrics that are read from the state. */
+    void update_gauges(time_point now) const;
+
     /** @return the state as JSON, without keys or prompts. */
     nlohmann::json dump(time_point now) const;
 
--- a/src/entry/http_caller.cpp
+++ b/src/entry/http_caller.cpp
@@ -3,6 +3,8 @@
 
 #include "http_connection.hpp"
 
+#include <daisylead/entry/boot_time_func.hpp>
+
 #include <boost/beast/http/empty_body.hpp>
 
 namespace daisylead::entry
@@ -26,12 +28,22 @@
     awaitable<std::optional<http_answer>> call(http_call request)
     {
         ++m_calls;
+        time_point const began = boot_time();
+        auto const report = [&](std::size_t size, std::string failure)
+        {
+            if (request.m_on_end)
+            {
+                request.m_on_end(
+                    {size, boot_time() - began, std::move(failure)});
+            }
+        };
         http_route const way{request.m_address, "", {}};
         auto const made =
             co_await m_pool.get(way, request.m_timeout, request.m_fresh);
         std::shared_ptr<http_connection> connection = made.m_connection;
         if (!connection)
         {
+            report(0, "no connection");
             co_return std::nullopt;
         }
         http::request<http::empty_body> message;
@@ -60,6 +72,10 @@
             read_result =
                 co_await connection->read_rest(answer.m_body, max_answer_size);
         }
+        report(answer.m_body.size(), read_result == io_result::ok ? ""
+                                     : read_result == io_result::timed_out
+                                         ? "timed out"
+                                         : "broken");
         if (read_result != io_result::ok)
         {
             connection->abort();
--- a/src/entry/store_poller.cpp
+++ b/src/entry/store_poller.cpp
@@ -162,12 +162,20 @@
         min_poll_pause, max_poll_pause);
 }
 
-void store_poller::note_store_read(bool answered, bool& lost,
-                                   std::string const& what)
+void store_poller::note_store_read(std::optional<document_read> const& read,
+                                   bool& lost, std::string const& what)
 {
+    bool const answered = read.has_value();
     m_state.m_metrics.count(
         "daisylead_store_reads_total",
         {{"what", what}, {"answered", answered ? "yes" : "no"}});
+    if (read)
+    {
+        m_state.m_metrics.count("daisylead_store_read_bytes_total",
+                                {{"what", what}}, read->m_size);
+        m_state.m_metrics.observe("daisylead_store_read_seconds",
+                                  boot_time() - read->m_read_at);
+    }
     if (answered == lost)
     {
         lost = !answered;
@@ -192,7 +200,7 @@
         }
         std::optional<document_read> read =
             co_await m_state.m_adapter.m_read_rules();
-        note_store_read(read.has_value(), lost, "rules");
+        note_store_read(read, lost, "rules");
         if (!read)
         {
             co_await pause(m_executor, read_retry_delay(boot_time()));
@@ -233,7 +241,7 @@
         }
         std::optional<document_read> read =
             co_await m_state.m_adapter.m_read_upstreams();
-        note_store_read(read.has_value(), lost, "upstreams");
+        note_store_read(read, lost, "upstreams");
         if (!read)
         {
             co_await pause(m_executor, read_retry_delay(boot_time()));
--- a/src/entry/store_poller.hpp
+++ b/src/entry/store_poller.hpp
@@ -37,7 +37,8 @@
     std::chrono::milliseconds read_retry_delay(time_point now) const;
     std::chrono::milliseconds absent_retry_delay() const;
     static std::chrono::milliseconds poll_pause(duration time_until_due);
-    void note_store_read(bool answered, bool& lost, std::string const& what);
+    void note_store_read(std::optional<document_read> const& read, bool& lost,
+                         std::string const& what);
 
     boost::asio::any_io_executor m_executor;
     fleet_state& m_state;
