--- a/tests/entry/stand_in.cpp
+++ b/tests/entry/stand_in.cpp
@@ -112,15 +112,6 @@
     return ports.listen_on_next();
 }
 
-/** @return an address whose port no other socket gets by chance. */
-std::string free_address()
-{
-    int const descriptor = listen_on_free_port();
-    int const port = port_of(descriptor);
-    ::close(descriptor);
-    return "127.0.0.1:" + std::to_string(port);
-}
-
 /** @param receive_buffer bytes; 0: the usual size */
 int connect_to(std::string const& address, int receive_buffer = 0)
 {
@@ -226,13 +217,14 @@
     return list;
 }
 
-/** @return bytes that stand for the catalog. */
-std::string add_catalog(serving::catalog catalog)
+/** @return bytes that stand for the catalog, with the padding after them. */
+std::string add_catalog(serving::catalog catalog,
+                        std::string const& padding = "")
 {
     catalog_list& list = all_catalogs();
     std::lock_guard const lock(list.m_mutex);
     list.m_catalogs.push_back(std::move(catalog));
-    return std::to_string(list.m_catalogs.size() - 1);
+    return std::to_string(list.m_catalogs.size() - 1) + " " + padding;
 }
 
 std::optional<serving::catalog> find_catalog(std::string const& bytes)
@@ -322,6 +314,14 @@
 
 } // namespace
 
+std::string free_address()
+{
+    int const descriptor = listen_on_free_port();
+    int const port = port_of(descriptor);
+    ::close(descriptor);
+    return "127.0.0.1:" + std::to_string(port);
+}
+
 serving::catalog make_open_catalog(std::chrono::milliseconds target_latency)
 {
     serving::catalog catalog;
@@ -650,12 +650,35 @@
     start(network.factory());
 }
 
+running_instance::running_instance(
+    serving::catalog catalog, std::vector<serving::upstream_record> upstreams,
+    peer_access peers, int number, store_state store)
+    : m_rules(add_catalog(std::move(catalog))), m_revision(store.m_revision),
+      m_upstreams(std::move(upstreams)), m_store_failed(!store.m_answers),
+      m_blocks(std::move(store.m_blocks))
+{
+    m_settings.m_instance = instance_id("entry-" + std::to_string(number));
+    m_settings.m_peer_address = std::move(peers.m_address);
+    m_settings.m_seeds = std::move(peers.m_seeds);
+    start(peers.m_make_transport);
+}
+
 void running_instance::set_rules(std::uint64_t revision,
-                                 serving::catalog catalog)
+                                 serving::catalog catalog,
+                                 std::string const& padding)
 {
     std::lock_guard const lock(m_mutex);
     m_revision = revision;
-    m_rules = add_catalog(std::move(catalog));
+    m_rules = add_catalog(std::move(catalog), padding);
+}
+
+std::string running_instance::state() const
+{
+    int const descriptor = connect_to(m_settings.m_metrics_address);
+    send_all(descriptor, "GET /state HTTP/1.1\r\nHost: x\r\n"
+                         "Connection: close\r\n\r\n");
+    std::string const answer = read_until_idle(descriptor, 1000ms);
+    return answer.substr(std::min(answer.size(), answer.find('{')));
 }
 
 void running_instance::set_upstreams(
--- a/tests/entry/stand_in.hpp
+++ b/tests/entry/stand_in.hpp
@@ -139,6 +139,9 @@
     std::string m_bytes;
 };
 
+/** @return an address whose port no other socket gets by chance. */
+std::string free_address();
+
 /** Calls the store with the client of an instance.
  *  @param body sent by POST; empty: GET
  *  @return its answer, if what came is one */
@@ -201,6 +204,15 @@
 {
     std::uint64_t m_revision = 1; ///< of the configuration
     std::shared_ptr<block_store> m_blocks = std::make_shared<block_store>();
+    bool m_answers = true; ///< whether it gives answers
+};
+
+/** How an instance is connected to its peers. */
+struct peer_access
+{
+    std::string m_address;              ///< where peers reach it
+    std::vector<std::string> m_seeds{}; ///< peers to contact first
+    peer::transport_factory m_make_transport;
 };
 
 /** Engines of a test as the rollout of weights sees them. The hooks run on the
@@ -229,6 +241,11 @@
     running_instance(serving::catalog catalog,
                      std::vector<serving::upstream_record> upstreams,
                      peer_network& network, int number, store_state store = {});
+    /** An instance with a transport of the test.
+     *  @param number of this instance, from 1 */
+    running_instance(serving::catalog catalog,
+                     std::vector<serving::upstream_record> upstreams,
+                     peer_access peers, int number, store_state store = {});
     ~running_instance();
     running_instance(running_instance const&) = delete;
     running_instance& operator=(running_instance const&) = delete;
@@ -263,8 +280,13 @@
     void send_and_close(std::string const& bytes,
                         std::chrono::milliseconds after);
 
-    /** The store holds another configuration from now on. */
-    void set_rules(std::uint64_t revision, serving::catalog catalog);
+    /** The store holds another configuration from now on.
+     *  @param padding makes the document larger */
+    void set_rules(std::uint64_t revision, serving::catalog catalog,
+                   std::string const& padding = "");
+
+    /** @return the state that the instance reports, as JSON text. */
+    std::string state() const;
 
     /** Keeps the thread of the instance busy, as if its machine stood still. */
     void freeze(std::chrono::milliseconds time);
