Fix: [Entry] a read of the store ends when the store is silent, not after a time

Cause: a read of the configuration had 400 ms for the whole answer. On a link of 10 Mbit/s that is a limit of 500,000 bytes, and all that had come was thrown away.

Ruled out: a store that is slow (others were answered in 5 ms), processor time (decoding takes 107 ms at the median where the document arrives).

Change: the time limit of a read is one on silence from the head of its answer on. Orders, transactions and reports keep a limit for the whole call; their answers have a known size. The largest answer grows from 4 to 24 MB, as a row may hold the largest configuration in base64.

A store that falls silent within an answer is still given up in time.

--- a/include/daisylead/entry/http_caller_base.hpp
+++ b/include/daisylead/entry/http_caller_base.hpp
@@ -38,6 +38,9 @@
     std::string m_body;           ///< JSON body; empty: none
     std::vector<std::pair<std::string, std::string>> m_headers; ///< more fields
     std::chrono::milliseconds m_timeout{}; ///< of the whole call
+    /** Longest time without a byte of the body of the answer; m_timeout then
+     *  ends with the head of the answer. 0: m_timeout is for the whole call. */
+    std::chrono::milliseconds m_silence{};
     bool m_fresh = false; ///< use a new connection and close it afterwards
     /** Called at the end of the call; may be empty. */
     std::function<void(call_progress const&)> m_on_end;
--- a/src/entry/http_caller.cpp
+++ b/src/entry/http_caller.cpp
@@ -13,8 +13,9 @@
 namespace
 {
 
-/** Maximum size of an answer, bytes; all rows of a table come in one answer. */
-constexpr std::size_t max_answer_size = 4 << 20;
+/** Maximum size of an answer, bytes; all rows of a table come in one answer,
+ * and a row may hold the largest document in base64. */
+constexpr std::size_t max_answer_size = 24 << 20;
 
 } // namespace
 
@@ -69,8 +70,8 @@
         {
             answer.m_status = connection->status();
             answer.m_fields = connection->header();
-            read_result =
-                co_await connection->read_rest(answer.m_body, max_answer_size);
+            read_result = co_await connection->read_rest(
+                answer.m_body, max_answer_size, nullptr, request.m_silence);
         }
         report(answer.m_body.size(), read_result == io_result::ok ? ""
                                      : read_result == io_result::timed_out
--- a/src/entry/http_connection.cpp
+++ b/src/entry/http_connection.cpp
@@ -299,13 +299,18 @@
     co_return io_result::broken;
 }
 
-awaitable<io_result> http_connection::read_rest(std::string& bytes,
-                                                std::size_t max_size,
-                                                answer_memory* held)
+awaitable<io_result>
+http_connection::read_rest(std::string& bytes, std::size_t max_size,
+                           answer_memory* held,
+                           std::chrono::milliseconds silence)
 {
     std::string part;
     for (;;)
     {
+        if (silence > 0ms)
+        {
+            m_stream.expires_after(silence);
+        }
         io_result const read_result = co_await read_some(part);
         if (read_result != io_result::ok)
         {
--- a/src/entry/http_connection.hpp
+++ b/src/entry/http_connection.hpp
@@ -121,9 +121,12 @@
     /** Reads the rest of the body.
      *  @param max_size bytes; a longer body counts as broken
      *  @param held what the body takes; null: not accounted for. A body for
-     *         which there is no room counts as broken */
+     *         which there is no room counts as broken
+     *  @param silence from now on, the call times out if nothing comes for so
+     *         long; 0: its timeout stays */
     awaitable<io_result> read_rest(std::string& bytes, std::size_t max_size,
-                                   answer_memory* held = nullptr);
+                                   answer_memory* held = nullptr,
+                                   std::chrono::milliseconds silence = {});
 
     /** @return whether the write of the request has started. */
     bool has_write_started() const
