Fix: [Fleet] configurations travel in parts, as differences, beside the news

Cause: a reply of a peer had 500 ms, also if it held a whole configuration, which is a limit of 625,000 bytes at 10 Mbit/s for a document of 786,000. The next try began at the first byte, one at each peer that had announced it. The call shared its connection with the news, so that a live relay was taken for silent.

Change: - documentRequest and documentPart: an instance fetches the newest configuration from one peer at a time in parts of 32 KB, asks again for the part that is missing, and goes on at another peer that has the same encoding.

--- a/include/daisylead/entry/adapter_type.hpp
+++ b/include/daisylead/entry/adapter_type.hpp
@@ -133,6 +133,9 @@
     /** Decodes the configuration; nothing if the bytes hold none. */
     std::function<std::optional<serving::catalog>(std::string const&)>
         m_decode_rules;
+    /** Rewrites a configuration for peers of builds that fetch it as a whole;
+     *  empty: they read the same form. */
+    std::function<std::string(std::string const&)> m_rules_for_earlier_builds;
     /** Decodes service discovery. */
     std::function<std::vector<serving::upstream_record>(std::string const&)>
         m_decode_upstreams;
--- a/include/daisylead/peer/message_type.hpp
+++ b/include/daisylead/peer/message_type.hpp
@@ -7,6 +7,7 @@
 #include <daisylead/limits/limit_type.hpp>
 #include <daisylead/membership/membership_type.hpp>
 #include <daisylead/request/quarantine_base.hpp>
+#include <daisylead/serving/document_transfer_type.hpp>
 #include <daisylead/serving/fleet_news_type.hpp>
 #include <daisylead/serving/stream_registry_base.hpp>
 
@@ -68,13 +69,12 @@
     std::vector<std::string> m_asked; ///< ids of the first requests
 };
 
-using message_body =
-    std::variant<none, membership::ping, membership::ping_reply, fetch_config,
-                 config_text, limits::reserve_request, limits::reserve_reply,
-                 limits::settle, lease::lease_confirm_request,
-                 lease::lease_confirm_reply, quarantine_news, claim_query,
-                 claim_status, upstream_news, serving::fleet_news,
-                 stream_records>;
+using message_body = std::variant<
+    none, membership::ping, membership::ping_reply, fetch_config, config_text,
+    limits::reserve_request, limits::reserve_reply, limits::settle,
+    lease::lease_confirm_request, lease::lease_confirm_reply, quarantine_news,
+    claim_query, claim_status, upstream_news, serving::fleet_news,
+    stream_records, serving::document_request, serving::document_part>;
 
 /** A message with its sender. The sender fields inside a body are filled from
  *  these on arrival. */
--- a/include/daisylead/serving/fleet_news_type.hpp
+++ b/include/daisylead/serving/fleet_news_type.hpp
@@ -193,7 +193,10 @@
     std::vector<named_weights> m_named;      ///< sent with m_members
     std::optional<software_news> m_software; ///< sent with m_members
     std::vector<member> m_members;           ///< on request
-    std::string m_rules_document;            ///< on request
+    /** On request, for builds that do not ask for parts of it. */
+    std::string m_rules_document;
+    /** The sender answers document_request. */
+    bool m_sends_parts = false;
     std::optional<upstream_changes> m_upstream_changes; ///< on request
 };
 
--- a/include/daisylead/serving/fleet_roster_base.hpp
+++ b/include/daisylead/serving/fleet_roster_base.hpp
@@ -78,6 +78,7 @@
     bool m_call_open = false;     ///< a call is in progress
     bool m_urgent = false;        ///< call without waiting for the interval
     bool m_knows_members = false; ///< its member list was received
+    bool m_sends_parts = false;   ///< it answers document_request
     int m_failures = 0;           ///< consecutive failed calls
     time_point m_next_call;       ///< due time of the next call
     time_point m_last_call;       ///< time of the last call
--- a/src/entry/fleet_exchange.cpp
+++ b/src/entry/fleet_exchange.cpp
@@ -87,12 +87,28 @@
                                fleet_state& state,
                                peer::transport_factory const& make_transport)
     : m_executor(executor), m_state(state), m_started_at(boot_time()),
-      m_wake(executor)
+      m_wake(executor),
+      m_transfer(
+          executor, state,
+          [this](std::string const& address, peer::message_body body,
+                 configuration_transfer::reply_hook on_reply)
+          { call(address, std::move(body), std::move(on_reply)); },
+          [this](serving::document document, time_point read_at,
+                 instance_id const& peer)
+          { apply_rules(std::move(document), read_at, peer); })
 {
     m_state.m_on_urgent_news = [this]
     {
         m_wake.cancel();
     };
+    m_state.m_on_configuration = [this]
+    {
+        // The others are asked for it by few peers, if by any.
+        if (m_state.m_roster.is_relay(boot_time()))
+        {
+            m_transfer.note_in_force();
+        }
+    };
     m_transport = make_transport(
         self().m_address,
         [this](peer::message message, std::function<void(peer::message)> reply)
@@ -101,23 +117,28 @@
                 m_executor,
                 [this, message = std::move(message), reply = std::move(reply)]
                 {
-                    auto const* const news =
-                        std::get_if<serving::fleet_news>(&message.m_body);
-                    peer::message_body body = peer::none{};
-                    if (news != nullptr && !news->m_member.m_id.empty())
-                    {
-                        body = handle_news(*news);
-                    }
-                    else if (news == nullptr && m_handler)
-                    {
-                        body = m_handler(message.m_body);
-                    }
                     reply({self().m_id, incarnation(self().m_started),
-                           std::move(body)});
+                           answer(message.m_body)});
                 });
         });
 }
 
+peer::message_body fleet_exchange::answer(peer::message_body const& body)
+{
+    if (auto const* const news = std::get_if<serving::fleet_news>(&body))
+    {
+        return news->m_member.m_id.empty()
+                   ? peer::message_body(peer::none{})
+                   : peer::message_body(handle_news(*news));
+    }
+    if (auto const* const request =
+            std::get_if<serving::document_request>(&body))
+    {
+        return m_transfer.answer(*request);
+    }
+    return m_handler ? m_handler(body) : peer::message_body(peer::none{});
+}
+
 fleet_exchange::~fleet_exchange()
 {
     m_transport->stop();
@@ -148,6 +169,7 @@
     news.m_relays_digest = m_state.m_roster.relays_digest(now);
     news.m_cut_services = m_state.cut_services();
     m_state.m_upstream_pool.set_cut_services(news.m_cut_services);
+    news.m_sends_parts = true;
     news.m_store_era = m_state.m_store_era;
     news.m_store_era_age_ms = std::chrono::floor<std::chrono::milliseconds>(
                                   now - m_state.m_store_era_since)
@@ -248,6 +270,15 @@
     {
         return;
     }
+    if (wanted.m_rules && peer->m_sends_parts)
+    {
+        wanted.m_rules = false;
+        m_transfer.note_newer(peer->m_member, wanted.m_announced_rules);
+    }
+    if (!wanted.m_members && !wanted.m_rules && !wanted.m_upstreams)
+    {
+        return;
+    }
     serving::fleet_news news = make_news(peer);
     news.m_wants_members = wanted.m_members;
     news.m_wants_rules = wanted.m_rules;
@@ -435,10 +466,15 @@
     }
 }
 
-bool fleet_exchange::has_newer_rules(serving::fleet_news const& news) const
+void fleet_exchange::apply_rules(serving::document document, time_point read_at,
+                                 instance_id const& peer)
 {
-    return news.m_rules.m_revision > m_state.m_rules_freshness.revision() ||
-           news.m_rules.m_digest > m_state.m_rules.m_content_order;
+    std::uint64_t const known = m_state.m_rules_freshness.revision();
+    m_state.update_rules(std::move(document), read_at, "peer " + peer.value());
+    if (m_state.m_rules_freshness.revision() != known)
+    {
+        send_now(peer);
+    }
 }
 
 fleet_exchange::wanted_parts
@@ -462,7 +498,8 @@
         }
         else
         {
-            wanted.m_rules = has_newer_rules(reply);
+            wanted.m_rules = m_state.is_newer_configuration(reply.m_rules);
+            wanted.m_announced_rules = reply.m_rules;
             if (reply.m_rules.m_revision == known_rules && !wanted.m_rules)
             {
                 m_state.note_rules_unchanged(read_at);
@@ -541,7 +578,9 @@
     // The peer has a newer document: request it now instead of at the next
     // interval. Its age is computed from the reply to that request.
     wanted_parts wanted;
-    wanted.m_rules = news.m_rules.m_age_ms && has_newer_rules(news);
+    wanted.m_rules =
+        news.m_rules.m_age_ms && m_state.is_newer_configuration(news.m_rules);
+    wanted.m_announced_rules = news.m_rules;
     wanted.m_upstreams =
         news.m_upstreams.m_age_ms &&
         news.m_upstreams.m_digest != m_state.m_upstreams.digest() &&
@@ -574,7 +613,9 @@
     }
     if (news.m_wants_rules)
     {
-        reply.m_rules_document = m_state.m_rules.m_bytes;
+        auto const& rewrite = m_state.m_adapter.m_rules_for_earlier_builds;
+        reply.m_rules_document = rewrite ? rewrite(m_state.m_rules.m_bytes)
+                                         : m_state.m_rules.m_bytes;
         m_state.m_metrics.count("daisylead_document_bytes_sent_total", {},
                                 reply.m_rules_document.size());
     }
--- a/src/entry/fleet_exchange.hpp
+++ b/src/entry/fleet_exchange.hpp
@@ -1,6 +1,7 @@
 /** @file Exchange of news between the entry instances. */
 #pragma once
 
+#include "configuration_transfer.hpp"
 #include "fleet_state.hpp"
 
 #include <daisylead/peer/transport_base.hpp>
@@ -66,9 +67,11 @@
     {
         bool m_members = false;
         bool m_rules = false;
+        serving::document_state m_announced_rules; ///< if m_rules
         bool m_upstreams = false;
     };
 
+    peer::message_body answer(peer::message_body const& body);
     awaitable<void> send_loop();
     void contact_seeds(time_point now);
     void send_news(instance_id const& id);
@@ -80,7 +83,8 @@
     void note_call_failed(std::string const& address, std::string const& asked,
                           duration elapsed);
     void on_reply(serving::fleet_news const& reply, time_point sent_at);
-    bool has_newer_rules(serving::fleet_news const& news) const;
+    void apply_rules(serving::document document, time_point read_at,
+                     instance_id const& peer);
     wanted_parts apply_documents(serving::fleet_news const& reply,
                                  time_point sent_at);
     serving::fleet_news handle_news(serving::fleet_news const& news);
@@ -98,6 +102,7 @@
     time_point m_next_seed_contact;
     boost::asio::steady_timer m_wake; ///< cancelled to run send_loop() early
     message_handler m_handler;        ///< may be empty
+    configuration_transfer m_transfer;
     std::unique_ptr<peer::transport> m_transport;
 };
 
--- a/src/entry/fleet_state.cpp
+++ b/src/entry/fleet_state.cpp
@@ -242,6 +242,17 @@
                     {"bytes", m_rules.m_bytes.size()},
                     {"decode_ms", milliseconds_of(decode_time)},
                     {"read_age_ms", milliseconds_of(boot_time() - read_at)}});
+    if (m_on_configuration)
+    {
+        m_on_configuration();
+    }
+}
+
+bool fleet_state::is_newer_configuration(
+    serving::document_state const& other) const
+{
+    return other.m_revision > m_rules_freshness.revision() ||
+           other.m_digest > m_rules.m_content_order;
 }
 
 void fleet_state::keep_newer_weights(serving::catalog& catalog) const
--- a/src/entry/fleet_state.hpp
+++ b/src/entry/fleet_state.hpp
@@ -57,6 +57,9 @@
                                 serving::document_state const& sender_state,
                                 time_point read_at, std::string const& source);
 
+    /** @return whether a configuration is newer than the one in force. */
+    bool is_newer_configuration(serving::document_state const& other) const;
+
     /** The content was confirmed to be the newest at @p read_at. */
     void note_rules_unchanged(time_point read_at);
     void note_upstreams_unchanged(std::uint64_t revision, time_point read_at);
@@ -249,8 +252,9 @@
     /** When this instance learnt that the store came back from a copy. */
     std::optional<time_point> m_store_restored_at;
     serving::kv_store_set m_kv_stores;
-    std::function<void()> m_on_urgent_news; ///< sends news immediately
-    std::function<void()> m_on_upstreams;   ///< a list was read or confirmed
+    std::function<void()> m_on_urgent_news;   ///< sends news immediately
+    std::function<void()> m_on_upstreams;     ///< a list was read or confirmed
+    std::function<void()> m_on_configuration; ///< another one is in force
     bool m_draining = false;
     time_point m_drain_ends_at; ///< while draining: end of the process
     /** Requests whose first byte has arrived and whose answer is not
@@ -262,7 +266,7 @@
     std::shared_ptr<answer_limiter> m_answers;
 
 private:
-    std::uint64_t m_unreadable_revision = 0; ///< last one that was logged
+    std::uint64_t m_unreadable_revision = 0;   ///< last one that was logged
     /** Whether the times at which the first configuration named its weights
      *  are assumed. */
     bool m_naming_times_assumed = true;
--- a/src/peer/codec.cpp
+++ b/src/peer/codec.cpp
@@ -489,6 +489,26 @@
         std::numeric_limits<std::uint32_t>::max()));
 }
 
+void encode_body(serving::document_request const& body, builder target)
+{
+    auto item = target.initDocumentRequest();
+    item.setKnown(body.m_known);
+    item.setEncoding(body.m_encoding);
+    item.setOffset(body.m_offset);
+}
+
+void encode_body(serving::document_part const& body, builder target)
+{
+    auto item = target.initDocumentPart();
+    encode_document_state(body.m_state, item.initState());
+    item.setBase(body.m_base);
+    item.setEncoding(body.m_encoding);
+    item.setEncodedSize(body.m_encoded_size);
+    item.setSize(body.m_size);
+    item.setOffset(body.m_offset);
+    item.setBytes(to_data(body.m_bytes));
+}
+
 void encode_body(stream_records const& body, builder target)
 {
     auto records = target.initStreamRecords();
@@ -630,6 +650,7 @@
     {
         saved.set(i, body.m_saved[i]);
     }
+    item.setSendsParts(body.m_sends_parts);
 }
 
 membership::ping decode_ping(reader source)
@@ -1031,6 +1052,26 @@
     {
         body.m_saved.push_back(prefix);
     }
+    body.m_sends_parts = item.getSendsParts();
+    return body;
+}
+
+serving::document_request
+decode_document_request(wire::DocumentRequest::Reader source)
+{
+    return {source.getKnown(), source.getEncoding(), source.getOffset()};
+}
+
+serving::document_part decode_document_part(wire::DocumentPart::Reader source)
+{
+    serving::document_part body;
+    body.m_state = decode_document_state(source.getState());
+    body.m_base = source.getBase();
+    body.m_encoding = source.getEncoding();
+    body.m_encoded_size = source.getEncodedSize();
+    body.m_size = source.getSize();
+    body.m_offset = source.getOffset();
+    body.m_bytes = from_data(source.getBytes());
     return body;
 }
 
@@ -1077,6 +1118,10 @@
         return decode_fleet_news(source);
     case wire::Message::STREAM_RECORDS:
         return decode_stream_records(source.getStreamRecords());
+    case wire::Message::DOCUMENT_REQUEST:
+        return decode_document_request(source.getDocumentRequest());
+    case wire::Message::DOCUMENT_PART:
+        return decode_document_part(source.getDocumentPart());
     }
     return none{};
 }
--- a/src/peer/peer.capnp
+++ b/src/peer/peer.capnp
@@ -30,6 +30,8 @@
     upstreamNews @15 :UpstreamNews;
     fleetNews @16 :FleetNews;
     streamRecords @17 :StreamRecords;
+    documentRequest @18 :DocumentRequest;
+    documentPart @19 :DocumentPart;
   }
 }
 
@@ -143,6 +145,23 @@
   asked @1 :List(Text);
 }
 
+# Earlier builds answer it with none.
+struct DocumentRequest {
+  known @0 :UInt64;
+  encoding @1 :UInt64;
+  offset @2 :UInt64;
+}
+
+struct DocumentPart {
+  state @0 :DocumentState;
+  base @1 :UInt64;
+  encoding @2 :UInt64;
+  encodedSize @3 :UInt64;
+  size @4 :UInt64;
+  offset @5 :UInt64;
+  bytes @6 :Data;
+}
+
 # A process that began streams.
 struct StreamSource {
   service @0 :Text;
@@ -310,4 +329,5 @@
   storeEra @36 :UInt64;
   storeEraAgeMs @37 :Int64 = -1;
   kvStores @38 :List(KvStore);
+  sendsParts @39 :Bool;
 }
--- a/src/peer/transport.cpp
+++ b/src/peer/transport.cpp
@@ -10,12 +10,14 @@
 #include <kj/async-io.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <fcntl.h>
 #include <future>
+#include <map>
 #include <mutex>
 #include <thread>
 #include <unistd.h>
-#include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace daisylead::peer
@@ -141,18 +143,104 @@
     std::shared_ptr<task_queue> m_queue;
 };
 
+/** A stream that counts what it receives. */
+class counted_stream final : public kj::AsyncIoStream
+{
+public:
+    explicit counted_stream(kj::Own<kj::AsyncIoStream> inner)
+        : m_inner(kj::mv(inner))
+    {
+    }
+
+    std::uint64_t received() const
+    {
+        return m_received;
+    }
+
+    kj::Promise<std::size_t> tryRead(void* buffer, std::size_t min_bytes,
+                                     std::size_t max_bytes) override
+    {
+        return read_on(static_cast<kj::byte*>(buffer), min_bytes, max_bytes, 0);
+    }
+
+    kj::Promise<void> write(void const* buffer, std::size_t size) override
+    {
+        return m_inner->write(buffer, size);
+    }
+
+    kj::Promise<void>
+    write(kj::ArrayPtr<kj::ArrayPtr<kj::byte const> const> pieces) override
+    {
+        return m_inner->write(pieces);
+    }
+
+    kj::Promise<void> whenWriteDisconnected() override
+    {
+        return m_inner->whenWriteDisconnected();
+    }
+
+    void shutdownWrite() override
+    {
+        m_inner->shutdownWrite();
+    }
+
+private:
+    /** Reads until there are enough bytes, and counts those of each read.
+     *  @param before bytes that were read already */
+    kj::Promise<std::size_t> read_on(kj::byte* buffer, std::size_t min_bytes,
+                                     std::size_t max_bytes, std::size_t before)
+    {
+        return m_inner
+            ->tryRead(buffer, std::min<std::size_t>(min_bytes, 1), max_bytes)
+            .then(
+                [=, this](std::size_t size) -> kj::Promise<std::size_t>
+                {
+                    m_received += size;
+                    if (size == 0 || size >= min_bytes)
+                    {
+                        return before + size;
+                    }
+                    return read_on(buffer + size, min_bytes - size,
+                                   max_bytes - size, before + size);
+                });
+    }
+
+    kj::Own<kj::AsyncIoStream> m_inner;
+    std::uint64_t m_received = 0;
+};
+
+/** @return whether the reply may hold a document. Such calls have a connection
+ *  of their own: others must not wait behind the reply, nor fail with it. */
+bool has_large_reply(message const& content)
+{
+    auto const* const news = std::get_if<serving::fleet_news>(&content.m_body);
+    return std::holds_alternative<serving::document_request>(content.m_body) ||
+           (news != nullptr &&
+            (news->m_wants_rules || news->m_wants_upstreams));
+}
+
+/** Names a connection: the address of the peer, and whether it is for calls
+ *  with large replies. */
+using connection_key = std::pair<std::string, bool>;
+
 /** The connection to one peer. */
 class connection
 {
 public:
     explicit connection(kj::Own<kj::AsyncIoStream> stream)
         : m_stream(kj::mv(stream)),
-          m_network(*m_stream, capnp::rpc::twoparty::Side::CLIENT,
+          m_network(m_stream, capnp::rpc::twoparty::Side::CLIENT,
                     reader_options()),
           m_rpc(capnp::makeRpcClient(m_network)), m_peer(bootstrap())
     {
     }
 
+    /** @return bytes received so far. */
+    std::uint64_t received() const
+    {
+        return m_stream.received();
+    }
+
     wire::Peer::Client& peer()
     {
         return m_peer;
@@ -167,7 +255,7 @@
         return m_rpc.bootstrap(id).castAs<wire::Peer>();
     }
 
-    kj::Own<kj::AsyncIoStream> m_stream;
+    counted_stream m_stream;
     capnp::TwoPartyVatNetwork m_network;
     capnp::RpcSystem<capnp::rpc::twoparty::VatId> m_rpc;
     wire::Peer::Client m_peer;
@@ -386,21 +474,21 @@
         }
     }
 
-    kj::Promise<std::shared_ptr<connection>> connect(std::string const& address)
+    kj::Promise<std::shared_ptr<connection>> connect(connection_key const& key)
     {
-        peer_state& state = m_peers[address];
+        peer_state& state = m_peers[key];
         if (state.m_connection)
         {
             return state.m_connection;
         }
         return m_io->provider->getNetwork()
-            .parseAddress(address.c_str())
+            .parseAddress(key.first.c_str())
             .then([](kj::Own<kj::NetworkAddress> parsed)
                   { return parsed->connect().attach(kj::mv(parsed)); })
             .then(
-                [this, address](kj::Own<kj::AsyncIoStream> stream)
+                [this, key](kj::Own<kj::AsyncIoStream> stream)
                 {
-                    peer_state& target = m_peers[address];
+                    peer_state& target = m_peers[key];
                     if (!target.m_connection)
                     {
                         target.m_connection =
@@ -410,40 +498,87 @@
                 });
     }
 
+    /** Sends a message and waits for its reply. */
+    static kj::Promise<message> exchange(std::shared_ptr<connection> target,
+                                         message const& content)
+    {
+        auto request = target->peer().deliverRequest();
+        encode(content, request.initMessage());
+        return request.send()
+            .then([](auto response) { return decode(response.getReply()); })
+            .attach(kj::heap(std::move(target)));
+    }
+
+    kj::Promise<message> call(connection_key const& key, message content,
+                              kj::Duration limit)
+    {
+        return m_io->provider->getTimer().timeoutAfter(
+            limit, connect(key).then(
+                       [content = std::move(content)](
+                           std::shared_ptr<connection> target)
+                       { return exchange(std::move(target), content); }));
+    }
+
+    /** A large reply may take long on a narrow link: its peer is silent only if
+     *  nothing comes. */
+    kj::Promise<message> call_large(connection_key const& key, message content,
+                                    kj::Duration limit)
+    {
+        return m_io->provider->getTimer()
+            .timeoutAfter(limit, connect(key))
+            .then(
+                [this, content = std::move(content),
+                 limit](std::shared_ptr<connection> target)
+                {
+                    return exchange(target, content)
+                        .exclusiveJoin(fail_when_silent(target, limit));
+                });
+    }
+
+    /** @return a promise that fails once nothing has been received for
+     *          @p limit */
+    kj::Promise<message> fail_when_silent(std::shared_ptr<connection> target,
+                                          kj::Duration limit)
+    {
+        std::uint64_t const received = target->received();
+        return m_io->provider->getTimer().afterDelay(limit).then(
+            [this, target = std::move(target), limit,
+             received]() -> kj::Promise<message>
+            {
+                if (target->received() == received)
+                {
+                    return KJ_EXCEPTION(DISCONNECTED, "the peer is silent");
+                }
+                return fail_when_silent(target, limit);
+            });
+    }
+
     void begin_call(std::string const& address, message content,
                     std::chrono::milliseconds timeout,
                     reply_hook const& on_reply)
     {
-        peer_state& state = m_peers[address];
+        connection_key const key(address, has_large_reply(content));
+        peer_state& state = m_peers[key];
         if (m_tasks == nullptr || state.m_open_calls >= max_open_calls)
         {
             on_reply(std::nullopt);
             return;
         }
         ++state.m_open_calls;
-        auto call = connect(address).then(
-            [content = std::move(content)](std::shared_ptr<connection> target)
-            {
-                auto request = target->peer().deliverRequest();
-                encode(content, request.initMessage());
-                return request.send()
-                    .then([](auto response)
-                          { return decode(response.getReply()); })
-                    .attach(kj::heap(std::move(target)));
-            });
-        auto limited = m_io->provider->getTimer().timeoutAfter(
-            timeout.count() * kj::MILLISECONDS, kj::mv(call));
+        auto const limit = timeout.count() * kj::MILLISECONDS;
+        auto limited = key.second ? call_large(key, std::move(content), limit)
+                                  : call(key, std::move(content), limit);
         m_tasks->add(limited.then(
-            [this, address, on_reply](message reply)
+            [this, key, on_reply](message reply)
             {
-                --m_peers[address].m_open_calls;
+                --m_peers[key].m_open_calls;
                 on_reply(std::move(reply));
             },
-            [this, address, on_reply](kj::Exception const&)
+            [this, key, on_reply](kj::Exception const&)
             {
                 // The next call connects anew: after a timeout the
                 // connection may lead to a host that is gone.
-                peer_state& failed = m_peers[address];
+                peer_state& failed = m_peers[key];
                 --failed.m_open_calls;
                 failed.m_connection.reset();
                 on_reply(std::nullopt);
@@ -461,7 +596,7 @@
     kj::AsyncIoContext* m_io = nullptr;
     kj::TaskSet* m_tasks = nullptr;
     kj::Own<kj::PromiseFulfiller<void>> m_stop;
-    std::unordered_map<std::string, peer_state> m_peers;
+    std::map<connection_key, peer_state> m_peers;
     bool m_accept_failed = false; ///< the last accept failed
     char m_wake_buffer[256] = {};
 };
--- a/src/serving/fleet_roster.cpp
+++ b/src/serving/fleet_roster.cpp
@@ -454,6 +454,7 @@
     peer.m_weights_number = news.m_weights_number;
     peer.m_blocked_digest = news.m_blocked_digest;
     peer.m_cut_services = news.m_cut_services;
+    peer.m_sends_parts = news.m_sends_parts;
 }
 
 peer_relation fleet_roster::note_call(fleet_news const& news, time_point now)
