Fix: [Entry] no answers from a configuration known to be superseded

Cause: the product did not know in which time a change must be in force.

Change: - bounds.configuration_apply_ms, filled in by the template. Half of it is the age at which such an instance reads the store, a sixth its pause after a failed read. - While a newer configuration is known and not here, an unknown route or key gets 503 with Retry-After; once the own one has no proof younger than the bound, all requests do at once, and the instance is not ready. While nobody knows a newer one, for instance in an outage of the store, the configuration is used on.

--- a/include/daisylead/config/entry_settings_type.hpp
+++ b/include/daisylead/config/entry_settings_type.hpp
@@ -25,12 +25,15 @@
     std::string m_metrics_address;   ///< [listen] metrics, "IP:port"
     /** [listen] tunnel, "IP:port"; empty: opens no tunnels for peers. */
     std::string m_tunnel_address;
-    std::string m_store_address;         ///< [store] address, "IP:port"
-    milliseconds m_store_timeout{400};   ///< [store] timeout_ms
-    milliseconds m_read_interval{450};   ///< [store] read_interval_ms
-    std::vector<std::string> m_seeds;    ///< [peers] seeds, "IP:port"
-    milliseconds m_news_interval{400};   ///< [peers] news_interval_ms
-    milliseconds m_key_validity{5000};   ///< [bounds] key_validity_ms
+    std::string m_store_address;       ///< [store] address, "IP:port"
+    milliseconds m_store_timeout{400}; ///< [store] timeout_ms
+    milliseconds m_read_interval{450}; ///< [store] read_interval_ms
+    std::vector<std::string> m_seeds;  ///< [peers] seeds, "IP:port"
+    milliseconds m_news_interval{400}; ///< [peers] news_interval_ms
+    milliseconds m_key_validity{5000}; ///< [bounds] key_validity_ms
+    /** [bounds] configuration_apply_ms: time in which an accepted configuration
+     *  comes into force everywhere. */
+    milliseconds m_configuration_apply{2000};
     milliseconds m_order_handover{3000}; ///< [bounds] order_handover_ms
     /** [bounds] weights_max_age_ms: requests begin on weights that have been
      *  outdated for no longer than this. */
--- a/src/config/entry_settings.cpp
+++ b/src/config/entry_settings.cpp
@@ -107,6 +107,9 @@
         table_reader reader = section("bounds");
         m_result.m_key_validity = reader.duration_ms(
             "key_validity_ms", m_result.m_key_validity, validity_range);
+        m_result.m_configuration_apply =
+            reader.duration_ms("configuration_apply_ms",
+                               m_result.m_configuration_apply, validity_range);
         m_result.m_order_handover = reader.duration_ms(
             "order_handover_ms", m_result.m_order_handover, interval_range);
         m_result.m_weights_max_age = reader.duration_ms(
--- a/src/config/rendered_settings.cpp
+++ b/src/config/rendered_settings.cpp
@@ -44,6 +44,10 @@
     number_rule{"peers", "news_interval_ms", {10, most_ms}, rounding::down},
     number_rule{
         "bounds", "key_validity_ms", {500, most_validity_ms}, rounding::down},
+    number_rule{"bounds",
+                "configuration_apply_ms",
+                {500, most_validity_ms},
+                rounding::down},
     number_rule{"bounds", "order_handover_ms", {10, most_ms}, rounding::up},
     number_rule{"bounds",
                 "weights_max_age_ms",
--- a/src/entry/configuration_transfer.cpp
+++ b/src/entry/configuration_transfer.cpp
@@ -43,6 +43,7 @@
 void configuration_transfer::note_newer(
     serving::member const& peer, serving::document_state const& announced)
 {
+    m_state.note_newer_configuration(announced);
     source& item = m_sources[peer.m_id];
     item.m_address = peer.m_address;
     item.m_announced = announced;
--- a/src/entry/fleet_state.cpp
+++ b/src/entry/fleet_state.cpp
@@ -42,6 +42,9 @@
  *  limit allows at most 10 % more than its rate in 8 s. */
 constexpr duration quota_initial_fill = 500ms;
 
+/** A peer that knows a newer configuration tells so with all its news. */
+constexpr duration announcement_ttl = 2s;
+
 /** Margin before the end of the validity of keys: a request may wait in
  *  socket buffers for this long after its last check. */
 constexpr duration key_validity_margin = 600ms;
@@ -255,6 +258,26 @@
            other.m_digest > m_rules.m_content_order;
 }
 
+void fleet_state::note_newer_configuration(
+    serving::document_state const& announced)
+{
+    m_announced_rules = announced;
+    m_announced_rules_at = boot_time();
+}
+
+bool fleet_state::is_outdated(time_point now) const
+{
+    return now - m_announced_rules_at < announcement_ttl &&
+           is_newer_configuration(m_announced_rules);
+}
+
+bool fleet_state::is_superseded(time_point now) const
+{
+    auto const age = m_rules_freshness.age(now);
+    return is_outdated(now) &&
+           (!age || *age > m_settings.m_configuration_apply);
+}
+
 void fleet_state::keep_newer_weights(serving::catalog& catalog) const
 {
     if (!m_catalog)
@@ -425,7 +448,7 @@
 bool fleet_state::is_ready(time_point now) const
 {
     return m_catalog && !m_draining && m_upstreams_read_at &&
-           m_knows_blocked_parts && are_keys_fresh(now);
+           m_knows_blocked_parts && are_keys_fresh(now) && !is_superseded(now);
 }
 
 void fleet_state::note_member(serving::member const& member, bool from_itself)
--- a/src/entry/fleet_state.hpp
+++ b/src/entry/fleet_state.hpp
@@ -60,6 +60,17 @@
     /** @return whether a configuration is newer than the one in force. */
     bool is_newer_configuration(serving::document_state const& other) const;
 
+    /** A peer has announced a newer configuration. */
+    void note_newer_configuration(serving::document_state const& announced);
+
+    /** @return whether a newer configuration is known to exist. */
+    bool is_outdated(time_point now) const;
+
+    /** @return whether requests must not be handled by the configuration in
+     *          force: a newer one exists, and may have been accepted longer ago
+     *          than changes may take to come into force. */
+    bool is_superseded(time_point now) const;
+
     /** The content was confirmed to be the newest at @p read_at. */
     void note_rules_unchanged(time_point read_at);
     void note_upstreams_unchanged(std::uint64_t revision, time_point read_at);
@@ -267,6 +278,8 @@
 
 private:
     std::uint64_t m_unreadable_revision = 0;   ///< last one that was logged
+    serving::document_state m_announced_rules; ///< by a peer, newest
+    time_point m_announced_rules_at;           ///< last time
     /** Whether the times at which the first configuration named its weights
      *  are assumed. */
     bool m_naming_times_assumed = true;
--- a/src/entry/request_runner.cpp
+++ b/src/entry/request_runner.cpp
@@ -316,13 +316,17 @@
                        "this instance has no configuration yet",
                        stale_config_retry_delay};
     }
-    auto const age = m_state.m_rules_freshness.age(m_began);
-    bool const stale = !age || *age > config_stale_after;
+    if (m_state.is_superseded(m_began))
+    {
+        return refusal{503, "configuration_superseded",
+                       "a newer configuration is not here yet",
+                       stale_config_retry_delay};
+    }
     serving::route const* const route =
         m_catalog->find_route(m_description.m_host, m_description.m_path);
     if (route == nullptr)
     {
-        if (stale)
+        if (is_configuration_unsure(m_began))
         {
             return refusal{503, "route_unsure",
                            "the route is unknown to an old configuration",
@@ -379,6 +383,12 @@
     return std::nullopt;
 }
 
+bool request_runner::is_configuration_unsure(time_point now) const
+{
+    auto const age = m_state.m_rules_freshness.age(now);
+    return !age || *age > config_stale_after || m_state.is_outdated(now);
+}
+
 std::optional<request_runner::refusal> request_runner::check_key(time_point now)
 {
     if (m_route.m_open || m_state.m_catalog->content().m_organisations.empty())
@@ -397,8 +407,7 @@
             : nullptr;
     if (owner == nullptr)
     {
-        auto const age = m_state.m_rules_freshness.age(now);
-        if (m_description.m_key && (!age || *age > config_stale_after))
+        if (m_description.m_key && is_configuration_unsure(now))
         {
             return refusal{503, "key_unsure",
                            "the key is unknown to an old configuration",
--- a/src/entry/request_runner.hpp
+++ b/src/entry/request_runner.hpp
@@ -65,6 +65,8 @@
     /** Answers after an exception. */
     awaitable<void> answer_failure();
     std::optional<refusal> check();
+    /** @return whether what the configuration does not know may be new. */
+    bool is_configuration_unsure(time_point now) const;
     std::optional<refusal> check_key(time_point now);
     std::optional<refusal> check_quota(time_point now);
     std::optional<refusal> check_quarantine(time_point now);
--- a/src/entry/store_poller.cpp
+++ b/src/entry/store_poller.cpp
@@ -32,10 +32,13 @@
  *  change must be in force within two seconds. */
 constexpr duration max_read_age = 1100ms;
 
-/** Age of a document at which an instance with a live relay reads the store
- *  itself, as the relays seem unable to reach it. It leaves time for several
- *  attempts before the validity of keys ends. */
-constexpr duration dependent_max_age = 2400ms;
+/** Part of the time in which a configuration comes into force after which an
+ *  instance with a live relay reads the store itself, as the relays seem unable
+ *  to reach it. The rest is for several attempts. */
+constexpr int dependent_age_divisor = 2;
+
+/** Part of that time for which such an instance waits after a failed read. */
+constexpr int dependent_retry_divisor = 6;
 
 /** Longest and shortest pause before the age of a document is checked again. */
 constexpr std::chrono::milliseconds max_poll_pause = 400ms;
@@ -44,9 +47,6 @@
 /** Delay after a failed read. */
 constexpr std::chrono::milliseconds retry_delay = 250ms;
 
-/** The same at an instance with a live relay, which retries as well. */
-constexpr std::chrono::milliseconds dependent_retry_delay = 1000ms;
-
 /** Age of the last answer of the KV cache store at which the first instance
  *  by rank polls it again. */
 constexpr duration kv_watch_interval = 300ms;
@@ -130,7 +130,7 @@
     serving::fleet_roster const& roster = m_state.m_roster;
     if (roster.has_live_relay(now))
     {
-        return dependent_max_age;
+        return dependent_max_age();
     }
     return serving::store_read_delay(roster.rank(now),
                                      m_state.m_settings.m_read_interval,
@@ -139,8 +139,16 @@
 
 std::chrono::milliseconds store_poller::read_retry_delay(time_point now) const
 {
-    return m_state.m_roster.has_live_relay(now) ? dependent_retry_delay
-                                                : retry_delay;
+    return m_state.m_roster.has_live_relay(now)
+               ? std::max(retry_delay,
+                          m_state.m_settings.m_configuration_apply /
+                              dependent_retry_divisor)
+               : retry_delay;
+}
+
+duration store_poller::dependent_max_age() const
+{
+    return m_state.m_settings.m_configuration_apply / dependent_age_divisor;
 }
 
 std::chrono::milliseconds store_poller::absent_retry_delay() const
@@ -148,7 +156,7 @@
     time_point const now = boot_time();
     duration const wait =
         m_state.m_roster.has_live_relay(now)
-            ? dependent_max_age
+            ? dependent_max_age()
             : retry_delay *
                   (1 + static_cast<int>(std::min(m_state.m_roster.rank(now),
                                                  max_absent_rank_steps)));
--- a/src/entry/store_poller.hpp
+++ b/src/entry/store_poller.hpp
@@ -34,6 +34,7 @@
     awaitable<void> erase_unblocked_parts();
     awaitable<void> kv_store_loop(std::size_t index);
     duration read_due_age(time_point now) const;
+    duration dependent_max_age() const;
     std::chrono::milliseconds read_retry_delay(time_point now) const;
     std::chrono::milliseconds absent_retry_delay() const;
     static std::chrono::milliseconds poll_pause(duration time_until_due);
--- a/tests/config/entry_settings_test.cpp
+++ b/tests/config/entry_settings_test.cpp
@@ -66,7 +66,8 @@
     text.replace(text.find("5000"), 4, "\"4999.5\"");
     text.replace(text.find("retry_window_s = 10"), 19,
                  "retry_window_s = 9.5\nretry_extra = 27.6\ngrace_s = \"\"\n"
-                 "order_handover_ms = true\nnew_field = 1");
+                 "order_handover_ms = true\nnew_field = 1\n"
+                 "configuration_apply_ms = \"3000\"");
     text.replace(text.find("\"0.25\""), 6, "0.2");
     text += "[orders]\nload_percent = 400\n[strange]\nkey = 1\n";
     std::vector<std::string> warnings;
@@ -76,6 +77,7 @@
     CHECK(settings.m_retry_extra == 27);
     CHECK(settings.m_retry_window == std::chrono::seconds(10));
     CHECK(settings.m_grace == config::entry_settings().m_grace);
+    CHECK(settings.m_configuration_apply == std::chrono::milliseconds(3000));
     CHECK(settings.m_order_handover ==
           config::entry_settings().m_order_handover);
     CHECK(settings.m_retry_ratio == 0.2);
