--- a/tests/peer/earlier_build_test.cpp
+++ b/tests/peer/earlier_build_test.cpp
@@ -109,6 +109,7 @@
                 std::get_if<serving::fleet_news>(&content.m_body))
         {
             news->m_store_era = 3;
+            news->m_sends_parts = true;
             news->m_store_era_age_ms = 5000;
             news->m_begun_streams = {{serving::digest_of_stream("a1"),
                                       {{},
--- a/tests/peer/transport_test.cpp
+++ b/tests/peer/transport_test.cpp
@@ -82,6 +82,43 @@
     CHECK_FALSE(rates[1].m_per_second);
 }
 
+TEST_CASE("encoding keeps the parts of a document and their requests")
+{
+    serving::document_part part;
+    part.m_state = {4, 5, 6};
+    part.m_base = 7;
+    part.m_encoding = 8;
+    part.m_encoded_size = 9;
+    part.m_size = 10;
+    part.m_offset = 11;
+    part.m_bytes = std::string("\0x", 2);
+    capnp::MallocMessageBuilder builder;
+    auto target = builder.initRoot<peer::wire::Message>();
+    peer::encode({instance_id("entry-1"), incarnation(42), part}, target);
+    peer::message const message = peer::decode(target.asReader());
+    auto const& decoded = std::get<serving::document_part>(message.m_body);
+    CHECK(decoded.m_state.m_revision == 4);
+    CHECK(decoded.m_state.m_digest == 5);
+    CHECK(decoded.m_state.m_age_ms == 6);
+    CHECK(decoded.m_base == 7);
+    CHECK(decoded.m_encoding == 8);
+    CHECK(decoded.m_encoded_size == 9);
+    CHECK(decoded.m_size == 10);
+    CHECK(decoded.m_offset == 11);
+    CHECK(decoded.m_bytes == part.m_bytes);
+
+    capnp::MallocMessageBuilder second;
+    auto request_target = second.initRoot<peer::wire::Message>();
+    peer::encode({instance_id("entry-1"), incarnation(42),
+                  serving::document_request{1, 2, 3}},
+                 request_target);
+    peer::message const asked = peer::decode(request_target.asReader());
+    auto const& request = std::get<serving::document_request>(asked.m_body);
+    CHECK(request.m_known == 1);
+    CHECK(request.m_encoding == 2);
+    CHECK(request.m_offset == 3);
+}
+
 TEST_CASE("encoding keeps the software of an upstream")
 {
     serving::fleet_news news;
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -166,6 +166,70 @@
     CHECK(catalog->m_limits.m_idle_timeout == std::chrono::seconds(9));
 }
 
+TEST_CASE("compact rows hold the same configuration as those of the store")
+{
+    // Guards against a configuration that depends on the way it came.
+    json const config = {{"version", 12},
+                         {"routes", json::array()},
+                         {"services", json::array()}};
+    json rows = {
+        {"rows",
+         json::array({make_row("config", config.dump()),
+                      make_row("version/m", "\x01 not JSON"),
+                      make_row("version/n", "{\"model\":\"n\",\"version\":4}"),
+                      json(5)})},
+        {"nowMs", 1}};
+    std::string const compact = platform::compact_rows(rows.dump());
+    auto const catalog = platform::decode_rules(compact);
+    REQUIRE(catalog);
+    CHECK(catalog->m_version == config_version(12));
+    REQUIRE(catalog->m_weights.size() == 1);
+    CHECK(catalog->m_weights.front().m_version == 4);
+    // An earlier build reads it as the store sends it.
+    json const expanded = json::parse(platform::expand_rows(compact));
+    for (json const& row : expanded.at("rows"))
+    {
+        CHECK(row.at("value").is_string());
+        CHECK_FALSE(row.contains("content"));
+    }
+    CHECK(platform::decode_rules(expanded.dump())->m_version ==
+          config_version(12));
+    // What differs between two reads is not in it.
+    rows["nowMs"] = 2;
+    CHECK(platform::compact_rows(rows.dump()) == compact);
+}
+
+TEST_CASE("a small change of the configuration is a small change of its text")
+{
+    // Guards against base64, in which all that follows a change differs.
+    auto const compact = [](std::string const& host)
+    {
+        json routes = json::array();
+        for (int i = 0; i < 100; ++i)
+        {
+            routes.push_back({{"name", "r" + std::to_string(i)},
+                              {"host", i == 3 ? host : "h"}});
+        }
+        json const rows = {
+            {"rows",
+             json::array({make_row(
+                 "config", json{{"version", 1}, {"routes", routes}}.dump())})}};
+        return platform::compact_rows(rows.dump());
+    };
+    std::string const before = compact("h");
+    std::string const after = compact("hh");
+    CHECK(after.size() == before.size() + 1);
+    std::size_t const common = 500;
+    CHECK(before.substr(before.size() - common) ==
+          after.substr(after.size() - common));
+}
+
+TEST_CASE("an answer without rows stays as it is")
+{
+    CHECK(platform::compact_rows("no JSON") == "no JSON");
+    CHECK(platform::expand_rows("no JSON") == "no JSON");
+}
+
 TEST_CASE("a configuration that cannot be read is none, not an empty one")
 {
     json const rows = {{"rows", json::array({make_row("config", "{")})}};
