--- a/src/peer/transport.cpp
+++ b/src/peer/transport.cpp
@@ -528,7 +528,7 @@
             .timeoutAfter(limit, connect(key))
             .then(
                 [this, content = std::move(content),
-                 limit](std::shared_ptr<connection> target)
+                 limit](std::shared_ptr<connection> const& target)
                 {
                     return exchange(target, content)
                         .exclusiveJoin(fail_when_silent(target, limit));
