--- a/src/entry/configuration_transfer.cpp
+++ b/src/entry/configuration_transfer.cpp
@@ -1,6 +1,7 @@
 /** @file Fetches configurations from peers in parts. */
 #include "configuration_transfer.hpp"
 
+#include <daisylead/base/milliseconds_func.hpp>
 #include <daisylead/telemetry/log_func.hpp>
 
 #include <nlohmann/json.hpp>
@@ -25,11 +26,6 @@
 /** Bytes of former configurations and of encodings that are kept for peers. */
 constexpr std::size_t max_kept = 32 << 20;
 
-double milliseconds_of(duration value)
-{
-    return std::chrono::duration<double, std::milli>(value).count();
-}
-
 } // namespace
 
 configuration_transfer::configuration_transfer(
--- a/src/entry/fleet_exchange.cpp
+++ b/src/entry/fleet_exchange.cpp
@@ -3,6 +3,7 @@
 
 #include "keep_running_func.hpp"
 
+#include <daisylead/base/milliseconds_func.hpp>
 #include <daisylead/telemetry/log_func.hpp>
 
 #include <boost/asio/post.hpp>
@@ -360,12 +361,10 @@
                             {{"asked", asked}});
     if (asked != asked_nothing)
     {
-        telemetry::log(
-            severity::warning, "document_not_received",
-            {{"address", address},
-             {"asked", asked},
-             {"elapsed_ms",
-              std::chrono::duration<double, std::milli>(elapsed).count()}});
+        telemetry::log(severity::warning, "document_not_received",
+                       {{"address", address},
+                        {"asked", asked},
+                        {"elapsed_ms", milliseconds_of(elapsed)}});
     }
 }
 
--- a/src/entry/fleet_state.cpp
+++ b/src/entry/fleet_state.cpp
@@ -3,6 +3,7 @@
 
 #include "caller_limiter.hpp"
 
+#include <daisylead/base/milliseconds_func.hpp>
 #include <daisylead/serving/store_revision_func.hpp>
 #include <daisylead/telemetry/log_func.hpp>
 
@@ -131,11 +132,6 @@
     return options;
 }
 
-double milliseconds_of(duration value)
-{
-    return std::chrono::duration<double, std::milli>(value).count();
-}
-
 } // namespace
 
 fleet_state::fleet_state(config::entry_settings const& settings,
