Codechange: [Tests] one upstream that answers each request, for three test files

The new tests of superseded configurations and of narrow links had written out the upstream of the restore tests again; it is in the stand-ins now.

--- a/tests/entry/restored_store_test.cpp
+++ b/tests/entry/restored_store_test.cpp
@@ -44,27 +44,6 @@
     return catalog;
 }
 
-/** An upstream that answers each request. */
-class sound_upstream
-{
-public:
-    std::vector<serving::upstream_record> records() const
-    {
-        return {make_upstream_record("u", m_server.address())};
-    }
-
-private:
-    scripted_upstream m_server{
-        [](served_connection& connection)
-        {
-            while (!connection.read_request().empty())
-            {
-                connection.write("HTTP/1.1 200 OK\r\nId: a1\r\nSeal: s\r\n"
-                                 "Content-Length: 2\r\n\r\nok");
-            }
-        }};
-};
-
 int status_of(running_instance& instance, int version,
               std::string const& key = "all")
 {
--- a/tests/entry/stand_in.hpp
+++ b/tests/entry/stand_in.hpp
@@ -111,6 +111,28 @@
     std::thread m_acceptor;
 };
 
+/** An upstream that answers each request with id "a1". */
+class sound_upstream
+{
+public:
+    /** @return the list of service discovery. */
+    std::vector<serving::upstream_record> records() const
+    {
+        return {make_upstream_record("u", m_server.address())};
+    }
+
+private:
+    scripted_upstream m_server{
+        [](served_connection& connection)
+        {
+            while (!connection.read_request().empty())
+            {
+                connection.write("HTTP/1.1 200 OK\r\nId: a1\r\nSeal: s\r\n"
+                                 "Content-Length: 2\r\n\r\nok");
+            }
+        }};
+};
+
 /** Bytes that an upstream sends next. */
 class next_answer
 {
--- a/tests/entry/superseded_configuration_test.cpp
+++ b/tests/entry/superseded_configuration_test.cpp
@@ -62,9 +62,8 @@
             return std::make_unique<announcing_transport>(announced);
         };
         m_instance = std::make_unique<running_instance>(
-            make_open_catalog(800ms),
-            std::vector{make_upstream_record("u", m_upstream.address())},
-            std::move(peers), 1);
+            make_open_catalog(800ms), m_upstream.records(), std::move(peers),
+            1);
         std::this_thread::sleep_for(500ms);
     }
 
@@ -90,15 +89,7 @@
     }
 
 private:
-    scripted_upstream m_upstream{
-        [](served_connection& connection)
-        {
-            while (!connection.read_request().empty())
-            {
-                connection.write("HTTP/1.1 200 OK\r\nId: a1\r\nSeal: s\r\n"
-                                 "Content-Length: 2\r\n\r\nok");
-            }
-        }};
+    sound_upstream m_upstream;
     std::unique_ptr<running_instance> m_instance;
 };
 
--- a/tests/fleet/narrow_link_test.cpp
+++ b/tests/fleet/narrow_link_test.cpp
@@ -105,9 +105,8 @@
             store_state store;
             store.m_answers = i == 0;
             m_instances[i] = std::make_unique<running_instance>(
-                make_catalog(1),
-                std::vector{make_upstream_record("u", m_upstream.address())},
-                std::move(peers), static_cast<int>(i) + 1, store);
+                make_catalog(1), m_upstream.records(), std::move(peers),
+                static_cast<int>(i) + 1, store);
         }
     }
 
@@ -150,15 +149,7 @@
     }
 
 private:
-    scripted_upstream m_upstream{
-        [](served_connection& connection)
-        {
-            while (!connection.read_request().empty())
-            {
-                connection.write("HTTP/1.1 200 OK\r\nId: a1\r\nSeal: s\r\n"
-                                 "Content-Length: 2\r\n\r\nok");
-            }
-        }};
+    sound_upstream m_upstream;
     std::array<std::string, 2> m_addresses{free_address(), free_address()};
     std::array<std::unique_ptr<narrow_link>, 2> m_links;
     std::array<std::unique_ptr<running_instance>, 2> m_instances;
