Add: [Review] case 13: streams go on at a server that a restored store lists as it was

After a restore of the store the instances take the row of a server's former process, though they knew the later one, and send streams of the old software on to the new process (ORDER).

Ruled out: the crash alone (TROUBLE=0 has it: no joined streams).

--- a/review/tools-3/engines.cpp
+++ b/review/tools-3/engines.cpp
@@ -79,7 +79,7 @@
         bool due = false;
         {
             std::lock_guard const lock(m_mutex);
-            due = m_is_up && clock::now() >= m_next_beat;
+            due = m_is_up && m_rows.is_up() && clock::now() >= m_next_beat;
             if (due)
             {
                 m_next_beat = clock::now() + heartbeat;
--- a/review/tools-3/stage.cpp
+++ b/review/tools-3/stage.cpp
@@ -439,11 +439,29 @@
     m_tables[table][key] = {encode_base64(value.dump()), ++m_version};
 }
 
-void store::erase(std::string const& table, std::string const& key)
+void store::take_copy()
 {
     std::lock_guard const lock(m_mutex);
-    ++m_version;
-    m_tables[table].erase(key);
+    m_copied_version = m_version;
+    m_copy = m_tables;
+}
+
+void store::go_away()
+{
+    m_is_up = false;
+    m_listener.stop();
+}
+
+void store::come_back_from_copy()
+{
+    {
+        std::lock_guard const lock(m_mutex);
+        m_version = m_copied_version;
+        m_tables = m_copy;
+        ++m_era;
+    }
+    m_is_up = true;
+    m_listener.start();
 }
 
 void store::serve(std::shared_ptr<channel> const& connection)
@@ -468,7 +486,10 @@
         target.starts_with("/v1/rows-get") ? rows(query_value(target, "table"))
         : target == "/v1/rows-tx"          ? transact(request.m_body, status)
                                            : "{}";
-    return make_answer(status, "Content-Type: application/json\r\n", body);
+    return make_answer(status,
+                       "Content-Type: application/json\r\nStore-Era: " +
+                           std::to_string(m_era) + "\r\n",
+                       body);
 }
 
 std::string store::rows(std::string const& table)
--- a/review/tools-3/stage.hpp
+++ b/review/tools-3/stage.hpp
@@ -156,7 +156,20 @@
 
     void put(std::string const& table, std::string const& key,
              json const& value);
-    void erase(std::string const& table, std::string const& key);
+    /** Keeps a copy of all rows. */
+    void take_copy();
+
+    /** Refuses all calls. */
+    void go_away();
+
+    /** Comes back with the rows of the copy, in a new era. */
+    void come_back_from_copy();
+
+    /** @return whether it answers. */
+    bool is_up() const
+    {
+        return m_is_up;
+    }
 
 private:
     struct row
@@ -173,6 +186,10 @@
     std::mutex m_mutex;
     std::uint64_t m_version = 0;
     std::map<std::string, std::map<std::string, row>> m_tables;
+    std::uint64_t m_copied_version = 0;
+    std::map<std::string, std::map<std::string, row>> m_copy;
+    std::uint64_t m_era = 1;
+    std::atomic<bool> m_is_up = true;
     clock::time_point m_began = clock::now();
     listener m_listener;
 };
