--- a/review/tools-3/engines.cpp
+++ b/review/tools-3/engines.cpp
@@ -124,6 +124,7 @@
     std::string const after = request.field("last-event-id");
     std::string const version = software();
     ++m_running;
+    m_moved += after.empty() ? 0 : 1;
     m_log.line(m_id + " runs " + attempt + " after event " +
                (after.empty() ? "-" : after) + ", software " + version);
     bool open = connection.write(
@@ -140,6 +141,7 @@
         std::this_thread::sleep_for(event_interval);
     }
     --m_running;
+    m_moved -= after.empty() ? 0 : 1;
     return open && run == m_run && connection.write("0\r\n\r\n");
 }
 
--- a/review/tools-3/engines.hpp
+++ b/review/tools-3/engines.hpp
@@ -36,6 +36,12 @@
         return m_running;
     }
 
+    /** @return number of those that another server began. */
+    int moved() const
+    {
+        return m_moved;
+    }
+
 private:
     std::string software();
     void write_row();
@@ -55,6 +61,7 @@
     std::atomic<bool> m_stopping = false;
     std::atomic<int> m_run = 0;
     std::atomic<int> m_running = 0;
+    std::atomic<int> m_moved = 0;
     std::thread m_beats;
     listener m_listener;
 };
--- a/review/tools-3/resumed_streams.cpp
+++ b/review/tools-3/resumed_streams.cpp
@@ -2,6 +2,7 @@
  *  software, while two others keep the former one. */
 #include "engines.hpp"
 
+#include <algorithm>
 #include <iostream>
 
 namespace
@@ -13,9 +14,6 @@
 constexpr int servers = 4;
 constexpr int streams = 180;
 
-/** Servers that restart; the others keep the former software. */
-constexpr int restarts = 2;
-
 /** Streams that begin after the restarts, to compare with. */
 constexpr int new_streams = 20;
 
@@ -26,6 +24,16 @@
  *  by then which software it has. */
 constexpr milliseconds next_crash = heartbeat + 200ms;
 
+void restart(engine& server, record& log)
+{
+    log.line("the next server runs " + std::to_string(server.running()) +
+             " streams, " + std::to_string(server.moved()) +
+             " of them began at another one");
+    server.crash();
+    std::this_thread::sleep_for(down_time);
+    server.restart("v2");
+}
+
 int run(std::string const& folder, std::string const& root)
 {
     record log("record.txt");
@@ -79,15 +87,13 @@
     std::this_thread::sleep_for(200ms);
     if (with_trouble())
     {
-        for (int i = 0; i < restarts; ++i)
-        {
-            log.line("the next server runs " +
-                     std::to_string(engines[i]->running()) + " streams");
-            engines[i]->crash();
-            std::this_thread::sleep_for(down_time);
-            engines[i]->restart("v2");
-            std::this_thread::sleep_for(i + 1 < restarts ? next_crash : 0ms);
-        }
+        restart(*engines.front(), log);
+        std::this_thread::sleep_for(next_crash);
+        // The server to which most of the streams went on.
+        auto const next = std::max_element(engines.begin(), engines.end(),
+                                           [](auto const& a, auto const& b)
+                                           { return a->moved() < b->moved(); });
+        restart(**next, log);
     }
     std::vector<outcome> fresh(new_streams);
     for (int i = 0; i < new_streams; ++i)
