Add: [Streams] log which process leaves the origin of a stream unproven

Cause: a stream whose origin is known but not proven was refused with "unproven": true alone. The log did not tell a process that was never listed after the connection was made from one that another process contradicts.

Change: process_history::check() returns what decided. stream_origin_unknown and stream_origin_unproven carry the reason, the ages of the connection and of the listings, and the start and software of the process that contradicts.

Conclusion: no behaviour changes.

--- a/include/daisylead/serving/process_history_base.hpp
+++ b/include/daisylead/serving/process_history_base.hpp
@@ -5,6 +5,7 @@
 #include <daisylead/serving/catalog_type.hpp>
 
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace daisylead::serving
@@ -18,6 +19,27 @@
     software_version m_software; ///< what it runs
 };
 
+/** Whether a connection is known to reach a process. */
+enum class process_proof
+{
+    proven,      ///< it reaches a process with that software
+    not_listed,  ///< its record was not read after the connection was made
+    contradicted ///< it may reach a process with other software
+};
+
+/** Result of a check, with what decided it. */
+struct process_check
+{
+    process_proof m_proof = process_proof::not_listed;
+    /** When the process was listed for the first and the last time; nothing if
+     *  it is not known. */
+    std::optional<time_point> m_first_listed;
+    std::optional<time_point> m_last_listed;
+    /** A process with other software that contradicts it. */
+    std::optional<upstream_process> m_other;
+    std::optional<time_point> m_other_first_listed;
+};
+
 /** Records which processes were listed under each id, also after they are gone.
  *  An upstream may start again under its id, with other software, while the row
  *  of its former process is still known. */
@@ -33,16 +55,22 @@
     void note_list(std::vector<upstream_record> const& list,
                    time_point read_at);
 
-    /** @return whether the software of the process is that of a connection to
-     *          its id that was made at @p connected_at: the process was still
-     *          listed later, and is_contradicted() does not hold */
-    bool is_proven(upstream_process const& process,
-                   time_point connected_at) const;
+    /** Checks that the software of the process is that of a connection to its
+     *  id: the process was still listed after the connection was made, and no
+     *  process with other software has been listed under the id since the
+     *  record of this one appeared, or ever if that record is not known.
+     *  @param connected_at when the connection was made
+     *  @param is_vouched another instance has proof; only the second condition
+     *  is checked */
+    process_check check(upstream_process const& process,
+                        time_point connected_at, bool is_vouched = false) const;
 
-    /** @return whether a process with other software has been listed under the
-     *          id since the row of this one appeared, or ever if that row is
-     *          not known */
-    bool is_contradicted(upstream_process const& process) const;
+    /** @return whether check() proves it. */
+    bool is_proven(upstream_process const& process,
+                   time_point connected_at) const
+    {
+        return check(process, connected_at).m_proof == process_proof::proven;
+    }
 
 private:
     /** A process of one upstream. */
--- a/src/entry/stream_directory.cpp
+++ b/src/entry/stream_directory.cpp
@@ -42,6 +42,38 @@
 /** Calls of a peer: the first one may find its connection reset. */
 constexpr int max_calls = 2;
 
+/** @return the fields of a log line on a stream whose software is not proven.
+ *  Times are ages. */
+nlohmann::json describe(serving::stream_origin const& origin,
+                        serving::process_check const& check, time_point now)
+{
+    auto const age_ms = [now](std::optional<time_point> const& time)
+    {
+        return time ? std::chrono::duration_cast<std::chrono::milliseconds>(
+                          now - *time)
+                          .count()
+                    : -1;
+    };
+    nlohmann::json fields = {
+        {"upstream", origin.m_upstream.value()},
+        {"started", origin.m_started},
+        {"software", origin.m_software.value()},
+        {"connected_ms", age_ms(now - origin.m_age)},
+        {"vouched", origin.m_proven},
+        {"reason", check.m_proof == serving::process_proof::contradicted
+                       ? "contradicted"
+                       : "not_listed"},
+        {"first_listed_ms", age_ms(check.m_first_listed)},
+        {"last_listed_ms", age_ms(check.m_last_listed)}};
+    if (check.m_other)
+    {
+        fields["other_started"] = check.m_other->m_started;
+        fields["other_software"] = check.m_other->m_software.value();
+        fields["other_first_listed_ms"] = age_ms(check.m_other_first_listed);
+    }
+    return fields;
+}
+
 } // namespace
 
 stream_directory::stream_directory(boost::asio::any_io_executor const& executor,
@@ -182,7 +214,8 @@
     {
         if (auto origin = m_state.m_streams.find(stream, now))
         {
-            origin->m_proven = is_proven(*origin, now);
+            origin->m_proven =
+                check(*origin, now).m_proof == serving::process_proof::proven;
             reply.m_origins.push_back(std::move(*origin));
         }
     }
@@ -232,14 +265,13 @@
     co_return result->m_origin;
 }
 
-bool stream_directory::is_proven(serving::stream_origin const& origin,
-                                 time_point now) const
+serving::process_check
+stream_directory::check(serving::stream_origin const& origin,
+                        time_point now) const
 {
-    serving::upstream_process const process{origin.m_upstream, origin.m_started,
-                                            origin.m_software};
-    return origin.m_proven
-               ? !m_state.m_processes.is_contradicted(process)
-               : m_state.m_processes.is_proven(process, now - origin.m_age);
+    return m_state.m_processes.check(
+        {origin.m_upstream, origin.m_started, origin.m_software},
+        now - origin.m_age, origin.m_proven);
 }
 
 awaitable<stream_directory::join_check>
@@ -253,12 +285,14 @@
     auto const sole = confirmed ? sole_version(origin.m_service,
                                                lifetime_in_timeouts * timeout)
                                 : std::optional<software_version>();
-    if (sole != origin.m_software && !is_proven(origin, now))
+    serving::process_check const result = check(origin, now);
+    if (sole != origin.m_software &&
+        result.m_proof != serving::process_proof::proven)
     {
-        telemetry::log(severity::info, "stream_origin_unproven",
-                       {{"stream", origin.m_stream},
-                        {"upstream", origin.m_upstream.value()},
-                        {"confirmed", confirmed}});
+        nlohmann::json fields = describe(origin, result, now);
+        fields["stream"] = origin.m_stream;
+        fields["confirmed"] = confirmed;
+        telemetry::log(severity::info, "stream_origin_unproven", fields);
         co_return join_check::refused;
     }
     co_return confirmed ? join_check::confirmed : join_check::unconfirmed;
@@ -287,13 +321,19 @@
         origin = co_await ask_peers(stream);
         source = "peer";
     }
-    if (!origin || !is_proven(*origin, boot_time()))
+    time_point const now = boot_time();
+    serving::process_check const result =
+        origin ? check(*origin, now) : serving::process_check();
+    if (result.m_proof != serving::process_proof::proven)
     {
-        telemetry::log(severity::info, "stream_origin_unknown",
-                       {{"stream", stream},
-                        {"service", service.value()},
-                        {"confirmed", confirmed},
-                        {"unproven", origin.has_value()}});
+        nlohmann::json fields =
+            origin ? describe(*origin, result, now) : nlohmann::json::object();
+        fields["stream"] = stream;
+        fields["service"] = service.value();
+        fields["confirmed"] = confirmed;
+        fields["unproven"] = origin.has_value();
+        fields["source"] = source;
+        telemetry::log(severity::info, "stream_origin_unknown", fields);
         co_return std::nullopt;
     }
     co_return requirement{origin->m_service, origin->m_software, source,
--- a/src/entry/stream_directory.hpp
+++ b/src/entry/stream_directory.hpp
@@ -75,7 +75,10 @@
     void call_keeper(std::string const& address,
                      peer::stream_records const& records, int calls,
                      reply_hook const& on_reply);
-    bool is_proven(serving::stream_origin const& origin, time_point now) const;
+    /** Checks that the software in the origin of a stream is the one that
+     *  began it. */
+    serving::process_check check(serving::stream_origin const& origin,
+                                 time_point now) const;
     std::optional<software_version> sole_version(service_id const& service,
                                                  duration lifetime,
                                                  duration margin = {}) const;
--- a/src/serving/process_history.cpp
+++ b/src/serving/process_history.cpp
@@ -64,35 +64,44 @@
                   [](auto const& entry) { return entry.second.empty(); });
 }
 
-bool process_history::is_contradicted(upstream_process const& process) const
+process_check process_history::check(upstream_process const& process,
+                                     time_point connected_at,
+                                     bool is_vouched) const
 {
+    process_check result;
     auto const known = m_listings.find(process.m_upstream);
-    if (known == m_listings.end())
+    if (known != m_listings.end())
     {
-        return false;
+        listings const& all = known->second;
+        auto const own = find(all, process.m_started, process.m_software);
+        if (own != all.end())
+        {
+            result.m_first_listed = own->m_first_listed;
+            result.m_last_listed = own->m_last_listed;
+        }
+        auto const other =
+            std::find_if(all.begin(), all.end(),
+                         [&](listing const& item)
+                         {
+                             return item.m_software != process.m_software &&
+                                    (own == all.end() ||
+                                     item.m_last_listed > own->m_first_listed);
+                         });
+        if (other != all.end())
+        {
+            result.m_proof = process_proof::contradicted;
+            result.m_other = {process.m_upstream, other->m_started,
+                              other->m_software};
+            result.m_other_first_listed = other->m_first_listed;
+            return result;
+        }
     }
-    listings const& all = known->second;
-    auto const own = find(all, process.m_started, process.m_software);
-    return std::any_of(all.begin(), all.end(),
-                       [&](listing const& item)
-                       {
-                           return item.m_software != process.m_software &&
-                                  (own == all.end() ||
-                                   item.m_last_listed > own->m_first_listed);
-                       });
-}
-
-bool process_history::is_proven(upstream_process const& process,
-                                time_point connected_at) const
-{
-    auto const known = m_listings.find(process.m_upstream);
-    if (known == m_listings.end())
+    if (is_vouched ||
+        (result.m_last_listed && *result.m_last_listed >= connected_at))
     {
-        return false;
+        result.m_proof = process_proof::proven;
     }
-    auto const own = find(known->second, process.m_started, process.m_software);
-    return own != known->second.end() && own->m_last_listed >= connected_at &&
-           !is_contradicted(process);
+    return result;
 }
 
 } // namespace daisylead::serving
--- a/tests/serving/process_history_test.cpp
+++ b/tests/serving/process_history_test.cpp
@@ -26,6 +26,15 @@
     return {upstream_id("u"), started, software_version(software)};
 }
 
+/** @return whether another process contradicts it, whatever was listed of it.
+ */
+bool is_contradicted(process_history const& history,
+                     upstream_process const& process)
+{
+    return history.check(process, start, true).m_proof ==
+           process_proof::contradicted;
+}
+
 } // namespace
 
 TEST_CASE("a later listing proves the process of a connection")
@@ -50,16 +59,16 @@
     history.note_list({make_record(1, "v1")}, start);
     history.note_list({make_record(2, "v2")}, start + 1s);
     history.note_list({}, start + 2s);
-    CHECK(history.is_contradicted(make_process(1, "v1")));
+    CHECK(is_contradicted(history, make_process(1, "v1")));
     CHECK_FALSE(history.is_proven(make_process(1, "v1"), start));
-    CHECK_FALSE(history.is_contradicted(make_process(2, "v2")));
+    CHECK_FALSE(is_contradicted(history, make_process(2, "v2")));
     CHECK(history.is_proven(make_process(2, "v2"), start + 1s));
     // A process that is not known itself.
-    CHECK(history.is_contradicted(make_process(3, "v3")));
+    CHECK(is_contradicted(history, make_process(3, "v3")));
     // The same software again, in a process that came later.
     history.note_list({make_record(4, "v1")}, start + 3s);
     CHECK(history.is_proven(make_process(4, "v1"), start + 3s));
-    CHECK(history.is_contradicted(make_process(2, "v2")));
+    CHECK(is_contradicted(history, make_process(2, "v2")));
 }
 
 TEST_CASE("a copy of the store that lists a former process proves nothing")
@@ -77,6 +86,6 @@
     history.note_list({make_record(1, "v1")}, start);
     history.note_list({make_record(2, "v2")}, start + 11min);
     history.note_list({make_record(2, "v2")}, start + 22min);
-    CHECK_FALSE(history.is_contradicted(make_process(2, "v2")));
-    CHECK(history.is_contradicted(make_process(1, "v1")));
+    CHECK_FALSE(is_contradicted(history, make_process(2, "v2")));
+    CHECK(is_contradicted(history, make_process(1, "v1")));
 }
