Fix: [Streams] a process that started later does not void the origin of a stream

Cause: process_history let every process with other software that was listed after the former one contradict it, however much later it had started. The processes of an id were told apart but not put in order.

Ruled out: a process that was not listed, an origin that is not known, no attempts left.

Change: a later process contradicts an origin only if it may have been there when the connection was made: its start, by the clocks of two machines and a margin of 500 ms, or 4 s in which the former process was still listed. A start after its own first listing proves nothing, nor does a row without one.

--- a/include/daisylead/serving/process_history_base.hpp
+++ b/include/daisylead/serving/process_history_base.hpp
@@ -4,6 +4,7 @@
 
 #include <daisylead/serving/catalog_type.hpp>
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <vector>
@@ -40,25 +41,40 @@
     std::optional<time_point> m_other_first_listed;
 };
 
+/** Times of a process_history. */
+struct process_history_options
+{
+    /** Time after its last listing in which a process is known. */
+    duration m_max_age;
+    /** Time in which a process that serves has written its record, and the
+     *  record of one that has ended is no longer listed. */
+    duration m_settle_time;
+    /** Largest difference between the times of day of two machines. */
+    duration m_max_clock_difference;
+};
+
 /** Records which processes were listed under each id, also after they are gone.
- *  An upstream may start again under its id, with other software, while the row
- *  of its former process is still known. */
+ *  An upstream may start again under its id, with other software, while the
+ *  record of its former process is still listed. */
 class process_history
 {
 public:
-    /** @param max_age time after its last listing in which a process is known
-     */
-    explicit process_history(duration max_age);
+    /** @return the time of day, Unix ms, at a time. */
+    using unix_time_hook = std::function<std::int64_t(time_point)>;
+
+    process_history(process_history_options const& options,
+                    unix_time_hook to_unix);
 
     /** Records a list.
-     *  @param read_at when its read was sent */
-    void note_list(std::vector<upstream_record> const& list,
-                   time_point read_at);
+     *  @param read_at when its read was sent
+     *  @param now when it was received or later */
+    void note_list(std::vector<upstream_record> const& list, time_point read_at,
+                   time_point now);
 
     /** Checks that the software of the process is that of a connection to its
      *  id: the process was still listed after the connection was made, and no
-     *  process with other software has been listed under the id since the
-     *  record of this one appeared, or ever if that record is not known.
+     *  process with other software that was listed under the id may have been
+     *  there by then.
      *  @param connected_at when the connection was made
      *  @param is_vouched another instance has proof; only the second condition
      *  is checked */
@@ -79,7 +95,9 @@
         std::int64_t m_started; ///< Unix ms
         software_version m_software;
         time_point m_first_listed;
-        time_point m_last_listed;
+        time_point m_first_known;  ///< when that list was received
+        time_point m_listed_since; ///< in all lists from here on
+        time_point m_last_listed;  ///< up to here
     };
 
     using listings = std::vector<listing>;
@@ -89,7 +107,16 @@
     static auto find(Listings& known, std::int64_t started,
                      software_version const& software);
 
-    duration m_max_age;
+    /** @param own the process that the connection is said to reach; null: not
+     *         known
+     *  @return whether a connection to the id may have reached @p other */
+    bool may_have_reached(listing const& other, listing const* own,
+                          upstream_process const& process,
+                          time_point connected_at) const;
+
+    process_history_options m_options;
+    unix_time_hook m_to_unix;
+    time_point m_read_at; ///< of the newest list
     std::map<upstream_id, listings> m_listings;
     time_point m_next_sweep;
 };
--- a/src/entry/fleet_state.cpp
+++ b/src/entry/fleet_state.cpp
@@ -70,6 +70,14 @@
  *  stream lasts. */
 constexpr duration max_process_age = 10min;
 
+/** Time in which an upstream that serves has written its record, and that of
+ *  one that has ended has lapsed: more than three heartbeats. */
+constexpr duration record_settle_time = 4s;
+
+/** Largest difference between the times of day of two machines that is allowed
+ *  for. */
+constexpr duration max_clock_difference = 500ms;
+
 /** Maximum number of streams whose origin is known at a time. */
 constexpr std::size_t max_streams = 16384;
 
@@ -105,6 +113,16 @@
             settings.m_tunnel_address};
 }
 
+/** @return the time of day at a time, Unix ms. It does not follow steps of the
+ *          clock of this machine after the start of the process.
+ *  @param started time of day at @p began, Unix ms */
+std::int64_t unix_time(std::int64_t started, time_point began, time_point time)
+{
+    return started +
+           std::chrono::duration_cast<std::chrono::milliseconds>(time - began)
+               .count();
+}
+
 /** Bits of a content order that hold the sum of the weights versions. */
 constexpr unsigned weights_order_bits = 20;
 
@@ -144,7 +162,10 @@
           pool_options(settings), &random_number,
           [this](upstream_id const& id, double per_second, time_point now)
           { return rate_share(id, per_second, now); }),
-      m_software(max_list_gap), m_processes(max_process_age),
+      m_software(max_list_gap),
+      m_processes({max_process_age, record_settle_time, max_clock_difference},
+                  [started, began = boot_time()](time_point time)
+                  { return unix_time(started, began, time); }),
       m_streams(max_streams), m_quotas(peer_silent_after, quota_initial_fill),
       m_retries({settings.m_retry_ratio,
                  static_cast<double>(settings.m_retry_extra),
@@ -395,7 +416,7 @@
 {
     auto const before = m_software.listed();
     m_software.note_list(m_upstreams.records(), read_at);
-    m_processes.note_list(m_upstreams.records(), read_at);
+    m_processes.note_list(m_upstreams.records(), read_at, boot_time());
     for (auto const& [service, versions] : m_software.listed())
     {
         auto const known = before.find(service);
--- a/tests/entry/stream_software_test.cpp
+++ b/tests/entry/stream_software_test.cpp
@@ -8,6 +8,7 @@
 #include <set>
 #include <sstream>
 #include <thread>
+#include <utility>
 
 using namespace daisylead;
 using namespace daisylead::entry_test;
@@ -144,6 +145,17 @@
     return catalog;
 }
 
+/** @return the same with time for a stream whose first part breaks late. */
+serving::catalog make_slow_stream_catalog()
+{
+    serving::catalog catalog = make_stream_catalog();
+    for (serving::route& route : catalog.m_routes)
+    {
+        route.m_timeout = 6000ms;
+    }
+    return catalog;
+}
+
 std::string make_request(std::string const& id, std::string const& fields = "")
 {
     return "POST /again/x HTTP/1.1\r\nHost: h\r\nId: " + id + "\r\n" + fields +
@@ -172,6 +184,14 @@
     return "a" + std::to_string(number);
 }
 
+/** @return the time of day, Unix ms. */
+std::int64_t unix_ms()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
 /** Calls @p run with the numbers below @p count, each on a thread. */
 void run_at_once(int count, std::function<void(int)> const& run)
 {
@@ -338,6 +358,41 @@
     CHECK_FALSE(is_whole(first));
 }
 
+TEST_CASE("a stream goes on though its upstream restarted with other software")
+{
+    // Guards against refusing the streams of a process because of the one that
+    // came after it under its id.
+    bool const resumed_by_caller = GENERATE(false, true);
+    CAPTURE(resumed_by_caller);
+    engine_list engines;
+    engines.push_back(
+        std::make_unique<engine>("u1", "v1", "a", first_part::breaks_late));
+    engines.push_back(
+        std::make_unique<engine>("u2", "v1", "b", first_part::is_whole));
+    auto records = records_of(engines);
+    serving::catalog catalog = make_slow_stream_catalog();
+    for (serving::route& route : catalog.m_routes)
+    {
+        route.m_max_upstreams = resumed_by_caller ? 1 : 2;
+    }
+    running_instance instance(catalog, records);
+    std::string answer;
+    std::thread caller(
+        [&] { answer = instance.exchange(make_request("a1"), 4000ms); });
+    std::this_thread::sleep_for(900ms);
+    records[0].m_started = unix_ms();
+    records[0].m_software = software_version("v2");
+    instance.set_upstreams(records);
+    caller.join();
+    if (resumed_by_caller)
+    {
+        CHECK(versions_in(answer).size() == 1);
+        answer += instance.exchange(resume_request("a2", "a1"));
+    }
+    CHECK(versions_in(answer) == std::vector<std::string>(3, "v1"));
+    CHECK(is_whole(answer));
+}
+
 TEST_CASE("a stream is not joined while its process cannot be confirmed")
 {
     // Guards against the row of a process that was replaced while the store
