Fix: [Streams] no stream goes on by the record of a former process

Cause: the upstream that takes a stream over was checked against the history of its id only while the store gave no answer. A copy of the store lists a server as it was before its restart, and that was believed.

Change: for a stream that needs a version, upstreams whose record is contradicted by a later process are left out when it is placed, and once more when the connection is made.

Ruled out: replacing the row in the list of upstreams; new requests are served well there, and the digests of the peers' lists would differ.

--- a/src/entry/fleet_state.cpp
+++ b/src/entry/fleet_state.cpp
@@ -822,6 +822,30 @@
     }
 }
 
+std::set<upstream_id>
+fleet_state::doubtful_upstreams(service_id const& service,
+                                software_version const& software) const
+{
+    time_point const now = boot_time();
+    std::set<upstream_id> doubtful;
+    for (serving::upstream_record const& record : m_upstreams.records())
+    {
+        if (record.m_service != service || record.m_software != software)
+        {
+            continue;
+        }
+        serving::process_proof const proof =
+            m_processes
+                .check({record.m_id, record.m_started, record.m_software}, now)
+                .m_proof;
+        if (proof == serving::process_proof::contradicted)
+        {
+            doubtful.insert(record.m_id);
+        }
+    }
+    return doubtful;
+}
+
 void fleet_state::note_attempt_ended(attempt_id const& attempt,
                                      request::attempt_outcome outcome)
 {
--- a/src/entry/fleet_state.hpp
+++ b/src/entry/fleet_state.hpp
@@ -162,6 +162,12 @@
      *  broke off count as crashes. */
     void note_crash(request::upstream_incarnation const& crash);
 
+    /** @return upstreams of a service that may run other software than their
+     *          records say, for a stream that needs @p software. */
+    std::set<upstream_id>
+    doubtful_upstreams(service_id const& service,
+                       software_version const& software) const;
+
     /** Records the end of an attempt for the quarantine of prompt parts. */
     void note_attempt_ended(attempt_id const& attempt,
                             request::attempt_outcome outcome);
--- a/src/entry/request_attempt.cpp
+++ b/src/entry/request_attempt.cpp
@@ -226,7 +226,7 @@
         }
         co_return next_action::retry;
     }
-    if (m_needs_proven_target && !is_target_proven(place.m_upstream))
+    if (m_software && !may_continue_at(place.m_upstream))
     {
         end_count();
         return_connection();
--- a/src/entry/request_runner.cpp
+++ b/src/entry/request_runner.cpp
@@ -278,12 +278,17 @@
     co_return result != join_check::refused;
 }
 
-bool request_runner::is_target_proven(
+bool request_runner::may_continue_at(
     serving::upstream_record const& upstream) const
 {
-    return m_state.m_processes.is_proven(
-        {upstream.m_id, upstream.m_started, upstream.m_software},
-        m_upstream->connected_at());
+    using serving::process_proof;
+    process_proof const proof =
+        m_state.m_processes
+            .check({upstream.m_id, upstream.m_started, upstream.m_software},
+                   m_upstream->connected_at())
+            .m_proof;
+    return proof == process_proof::proven ||
+           (proof == process_proof::not_listed && !m_needs_proven_target);
 }
 
 void request_runner::note_stream_begun(serving::upstream_record const& upstream)
@@ -576,7 +581,11 @@
     for (;;)
     {
         time_point const now = boot_time();
-        placement_query.m_excluded = m_tried;
+        std::set<upstream_id> const doubtful =
+            m_software ? m_state.doubtful_upstreams(m_service, *m_software)
+                       : std::set<upstream_id>();
+        placement_query.m_excluded = doubtful;
+        placement_query.m_excluded.insert(m_tried.begin(), m_tried.end());
         serving::placement place =
             m_state.m_upstream_pool.place(placement_query, now);
         if (place.m_reason == serving::no_placement::no_upstream &&
@@ -584,7 +593,7 @@
         {
             // No other upstream is available; one that was full or unreachable
             // may have recovered.
-            placement_query.m_excluded.clear();
+            placement_query.m_excluded = doubtful;
             place = m_state.m_upstream_pool.place(placement_query, now);
         }
         if (place.m_reason == serving::no_placement::none)
--- a/src/entry/request_runner.hpp
+++ b/src/entry/request_runner.hpp
@@ -81,9 +81,10 @@
     /** Before a stream that has begun goes on at another upstream.
      *  @return whether the version of its first one is known for sure */
     awaitable<bool> confirm_stream_origin();
-    /** @return whether the software of the process that accepted the
-     *          connection of the current attempt is known for sure. */
-    bool is_target_proven(serving::upstream_record const& upstream) const;
+    /** @return whether a stream may go on at the process that accepted the
+     *          connection of the current attempt: nothing says that it is not
+     *          the one in the record, and the record is new enough. */
+    bool may_continue_at(serving::upstream_record const& upstream) const;
     void note_stream_begun(serving::upstream_record const& upstream);
     awaitable<std::optional<serving::placement>> wait_for_placement();
     awaitable<next_action> attempt(serving::placement const& place);
--- a/tests/entry/stream_software_test.cpp
+++ b/tests/entry/stream_software_test.cpp
@@ -393,6 +393,34 @@
     CHECK(is_whole(answer));
 }
 
+TEST_CASE("a stream does not go on by the record of a former process")
+{
+    // Guards against a store that comes back from a copy: it lists an upstream
+    // as it was before it restarted with other software.
+    engine_list engines;
+    engines.push_back(
+        std::make_unique<engine>("u1", "v1", "a", first_part::breaks_late));
+    engines.push_back(
+        std::make_unique<engine>("u2", "v2", "b", first_part::is_whole));
+    engines.push_back(
+        std::make_unique<engine>("u3", "v1", "b", first_part::is_whole));
+    auto records = records_of(engines);
+    records[1].m_started = unix_ms() - 10000;
+    running_instance instance(make_slow_stream_catalog(), records);
+    std::string answer;
+    std::thread caller(
+        [&] { answer = instance.exchange(make_request("a1"), 4000ms); });
+    std::this_thread::sleep_for(500ms);
+    records[1].m_started -= 60000;
+    records[1].m_software = software_version("v1");
+    // Upstreams of the own zone are preferred.
+    records[1].m_zone = zone_id("a");
+    instance.set_upstreams(records);
+    caller.join();
+    CHECK(versions_in(answer) == std::vector<std::string>(3, "v1"));
+    CHECK(is_whole(answer));
+}
+
 TEST_CASE("a stream is not joined while its process cannot be confirmed")
 {
     // Guards against the row of a process that was replaced while the store
