Fix: [Streams] no stream goes on at a process whose record is not written

Cause: a record shows which process served when it was written. That its process had ended was seen, by connections that broke off, and not kept, so that the next process was taken for it until it wrote its own record.

Change: an upstream that refuses a connection marks the end of the process in its record. Streams are not sent to it, and connections that are made later are not taken for its own, until another process is listed or the same one for 4 s more. Streams of an upstream that break off within 100 ms start a check by a new connection; crashes that peers report count too. A service that seems to have one version does not overrule this.

Ruled out: a check for each stream that breaks off. Timeouts: a full queue does not answer either.

--- a/include/daisylead/serving/process_history_base.hpp
+++ b/include/daisylead/serving/process_history_base.hpp
@@ -25,6 +25,7 @@
 {
     proven,      ///< it reaches a process with that software
     not_listed,  ///< its record was not read after the connection was made
+    ended,       ///< the process had ended before the connection was made
     contradicted ///< it may reach a process with other software
 };
 
@@ -71,6 +72,12 @@
     void note_list(std::vector<upstream_record> const& list, time_point read_at,
                    time_point now);
 
+    /** A process no longer accepts connections.
+     *  @param at when it was tried
+     *  @return whether that was not known */
+    bool note_ended(upstream_id const& upstream, std::int64_t started,
+                    time_point at);
+
     /** Checks that the software of the process is that of a connection to its
      *  id: the process was still listed after the connection was made, and no
      *  process with other software that was listed under the id may have been
@@ -98,6 +105,8 @@
         time_point m_first_known;  ///< when that list was received
         time_point m_listed_since; ///< in all lists from here on
         time_point m_last_listed;  ///< up to here
+        /** When it was first found not to accept connections. */
+        std::optional<time_point> m_ended_at;
     };
 
     using listings = std::vector<listing>;
@@ -114,6 +123,16 @@
                           upstream_process const& process,
                           time_point connected_at) const;
 
+    /** @return whether a process is known to have ended by @p time. A record
+     *          that is listed for long after that is one of a process that
+     *          serves. */
+    bool has_ended(listing const& item, time_point time) const;
+
+    /** @return whether a connection that was made after the end of @p own
+     *          reached a process with its software. */
+    static bool has_equal_successor(listings const& all, listing const& own,
+                                    time_point connected_at);
+
     process_history_options m_options;
     unix_time_hook m_to_unix;
     time_point m_read_at; ///< of the newest list
--- a/src/entry/crash_detector.cpp
+++ b/src/entry/crash_detector.cpp
@@ -14,6 +14,9 @@
 /** Timeout of the connection; a port without a listener refuses it at once. */
 constexpr std::chrono::milliseconds probe_timeout = 300ms;
 
+/** Streams of a process that ends break off within this time. */
+constexpr duration broken_together = 100ms;
+
 } // namespace
 
 crash_detector::crash_detector(boost::asio::any_io_executor executor,
@@ -32,6 +35,19 @@
     }
 }
 
+void crash_detector::note_stream_broken(
+    serving::upstream_record const& upstream)
+{
+    time_point const now = boot_time();
+    if (m_last_broken == upstream.m_id &&
+        now - m_last_broken_at <= broken_together)
+    {
+        check(upstream);
+    }
+    m_last_broken = upstream.m_id;
+    m_last_broken_at = now;
+}
+
 awaitable<void> crash_detector::probe(serving::upstream_record upstream)
 {
     bool const reached = co_await m_connector.reaches(upstream, probe_timeout);
--- a/src/entry/crash_detector.hpp
+++ b/src/entry/crash_detector.hpp
@@ -19,6 +19,10 @@
     /** Starts a check, unless one of this upstream is in progress. */
     void check(serving::upstream_record const& upstream);
 
+    /** A stream of the upstream broke off. One alone may be a fault of its
+     *  connection; several at once start a check. */
+    void note_stream_broken(serving::upstream_record const& upstream);
+
 private:
     awaitable<void> probe(serving::upstream_record upstream);
 
@@ -26,6 +30,9 @@
     fleet_state& m_state;
     upstream_connector& m_connector;
     std::set<upstream_id> m_in_progress;
+    /** Upstream of the last stream that broke off. */
+    upstream_id m_last_broken;
+    time_point m_last_broken_at;
 };
 
 } // namespace daisylead::entry
--- a/src/entry/fleet_state.cpp
+++ b/src/entry/fleet_state.cpp
@@ -822,6 +822,17 @@
     }
 }
 
+void fleet_state::note_process_ended(serving::upstream_record const& upstream)
+{
+    if (m_processes.note_ended(upstream.m_id, upstream.m_started, boot_time()))
+    {
+        telemetry::log(severity::info, "upstream_process_ended",
+                       {{"upstream", upstream.m_id.value()},
+                        {"started", upstream.m_started},
+                        {"software", upstream.m_software.value()}});
+    }
+}
+
 std::set<upstream_id>
 fleet_state::doubtful_upstreams(service_id const& service,
                                 software_version const& software) const
@@ -838,7 +849,8 @@
             m_processes
                 .check({record.m_id, record.m_started, record.m_software}, now)
                 .m_proof;
-        if (proof == serving::process_proof::contradicted)
+        if (proof == serving::process_proof::ended ||
+            proof == serving::process_proof::contradicted)
         {
             doubtful.insert(record.m_id);
         }
@@ -866,6 +878,8 @@
     for (request::crash_report const& report : news.m_crashes)
     {
         m_part_quarantine.on_peer_crash(report, now);
+        m_processes.note_ended(report.m_crash.m_upstream,
+                               report.m_crash.m_incarnation.value(), now);
     }
     m_part_quarantine.on_peer_answers(news.m_answered_parts);
     serving::news_outbox refuted;
--- a/src/entry/fleet_state.hpp
+++ b/src/entry/fleet_state.hpp
@@ -162,6 +162,10 @@
      *  broke off count as crashes. */
     void note_crash(request::upstream_incarnation const& crash);
 
+    /** Records that no process listens at the address of an upstream. Another
+     *  one may serve there before its record is written. */
+    void note_process_ended(serving::upstream_record const& upstream);
+
     /** @return upstreams of a service that may run other software than their
      *          records say, for a stream that needs @p software. */
     std::set<upstream_id>
--- a/src/entry/http_connection.hpp
+++ b/src/entry/http_connection.hpp
@@ -45,6 +45,7 @@
 enum class connect_result
 {
     connected,
+    refused,     ///< no process listens at the address of the upstream
     no_upstream, ///< the upstream does not accept it
     no_tunnel    ///< the peer opens no tunnel, or does not answer
 };
--- a/src/entry/request_attempt.cpp
+++ b/src/entry/request_attempt.cpp
@@ -499,6 +499,10 @@
         {
             m_crash_detector.check(place.m_upstream);
         }
+        else if (m_stream_begun)
+        {
+            m_crash_detector.note_stream_broken(place.m_upstream);
+        }
     }
     end_count();
     m_state.note_suspects(m_state.m_quarantine.attempt_ended(
--- a/src/entry/stream_directory.cpp
+++ b/src/entry/stream_directory.cpp
@@ -42,6 +42,23 @@
 /** Calls of a peer: the first one may find its connection reset. */
 constexpr int max_calls = 2;
 
+/** @return the name of a reason in the log. */
+char const* name_of(serving::process_proof proof)
+{
+    switch (proof)
+    {
+    case serving::process_proof::proven:
+        return "proven";
+    case serving::process_proof::not_listed:
+        return "not_listed";
+    case serving::process_proof::ended:
+        return "ended";
+    case serving::process_proof::contradicted:
+        return "contradicted";
+    }
+    return "";
+}
+
 /** @return the fields of a log line on a stream whose software is not proven.
  *  Times are ages. */
 nlohmann::json describe(serving::stream_origin const& origin,
@@ -54,17 +71,14 @@
                           .count()
                     : -1;
     };
-    nlohmann::json fields = {
-        {"upstream", origin.m_upstream.value()},
-        {"started", origin.m_started},
-        {"software", origin.m_software.value()},
-        {"connected_ms", age_ms(now - origin.m_age)},
-        {"vouched", origin.m_proven},
-        {"reason", check.m_proof == serving::process_proof::contradicted
-                       ? "contradicted"
-                       : "not_listed"},
-        {"first_listed_ms", age_ms(check.m_first_listed)},
-        {"last_listed_ms", age_ms(check.m_last_listed)}};
+    nlohmann::json fields = {{"upstream", origin.m_upstream.value()},
+                             {"started", origin.m_started},
+                             {"software", origin.m_software.value()},
+                             {"connected_ms", age_ms(now - origin.m_age)},
+                             {"vouched", origin.m_proven},
+                             {"reason", name_of(check.m_proof)},
+                             {"first_listed_ms", age_ms(check.m_first_listed)},
+                             {"last_listed_ms", age_ms(check.m_last_listed)}};
     if (check.m_other)
     {
         fields["other_started"] = check.m_other->m_started;
@@ -286,8 +300,11 @@
                                                lifetime_in_timeouts * timeout)
                                 : std::optional<software_version>();
     serving::process_check const result = check(origin, now);
-    if (sole != origin.m_software &&
-        result.m_proof != serving::process_proof::proven)
+    // A process that came after its record was read is not in the history of
+    // versions yet.
+    bool const is_sole = sole == origin.m_software &&
+                         result.m_proof != serving::process_proof::ended;
+    if (!is_sole && result.m_proof != serving::process_proof::proven)
     {
         nlohmann::json fields = describe(origin, result, now);
         fields["stream"] = origin.m_stream;
@@ -311,7 +328,9 @@
     auto const sole =
         confirmed ? sole_version(begun_by, lifetime_in_timeouts * timeout)
                   : std::optional<software_version>();
-    if (sole && (!origin || origin->m_software == *sole))
+    if (sole && (!origin || (origin->m_software == *sole &&
+                             check(*origin, boot_time()).m_proof !=
+                                 serving::process_proof::ended)))
     {
         co_return requirement{begun_by, *sole, "only version", confirmed};
     }
--- a/src/entry/upstream_connector.cpp
+++ b/src/entry/upstream_connector.cpp
@@ -70,6 +70,10 @@
             !m_state.is_path_suspect(upstream, boot_time()))
         {
             made.m_upstream_down = made.m_connection == nullptr;
+            if (direct.m_connect == connect_result::refused)
+            {
+                m_state.note_process_ended(upstream);
+            }
             co_return made;
         }
     }
--- a/src/serving/process_history.cpp
+++ b/src/serving/process_history.cpp
@@ -58,7 +58,7 @@
             known.erase(known.begin());
         }
         known.push_back({record.m_started, record.m_software, read_at, now,
-                         read_at, read_at});
+                         read_at, read_at, std::nullopt});
     }
     if (read_at < m_next_sweep)
     {
@@ -75,6 +75,55 @@
                   [](auto const& entry) { return entry.second.empty(); });
 }
 
+bool process_history::note_ended(upstream_id const& upstream,
+                                 std::int64_t started, time_point at)
+{
+    auto const known = m_listings.find(upstream);
+    if (known == m_listings.end())
+    {
+        return false;
+    }
+    bool is_new = false;
+    for (listing& item : known->second)
+    {
+        if (item.m_started == started && !has_ended(item, at))
+        {
+            item.m_ended_at = at;
+            is_new = true;
+        }
+    }
+    return is_new;
+}
+
+bool process_history::has_ended(listing const& item, time_point time) const
+{
+    if (!item.m_ended_at || *item.m_ended_at > time)
+    {
+        return false;
+    }
+    bool const is_refuted =
+        item.m_listed_since <= *item.m_ended_at &&
+        item.m_last_listed - *item.m_ended_at >= m_options.m_settle_time;
+    return !is_refuted;
+}
+
+bool process_history::has_equal_successor(listings const& all,
+                                          listing const& own,
+                                          time_point connected_at)
+{
+    listing const* next = nullptr;
+    for (listing const& item : all)
+    {
+        if (item.m_started > own.m_started &&
+            (next == nullptr || item.m_started < next->m_started))
+        {
+            next = &item;
+        }
+    }
+    return next != nullptr && next->m_software == own.m_software &&
+           next->m_last_listed >= connected_at;
+}
+
 bool process_history::may_have_reached(listing const& other, listing const* own,
                                        upstream_process const& process,
                                        time_point connected_at) const
@@ -148,6 +197,12 @@
                           other->m_software};
         result.m_other_first_listed = other->m_first_listed;
     }
+    else if (own != nullptr && has_ended(*own, connected_at))
+    {
+        result.m_proof = has_equal_successor(all, *own, connected_at)
+                             ? process_proof::proven
+                             : process_proof::ended;
+    }
     else if (is_vouched ||
              (own != nullptr && own->m_last_listed >= connected_at))
     {
--- a/tests/entry/stream_software_test.cpp
+++ b/tests/entry/stream_software_test.cpp
@@ -421,6 +421,37 @@
     CHECK(is_whole(answer));
 }
 
+TEST_CASE("a stream does not go on at a process whose record is not written")
+{
+    // Guards against an upstream that restarts with other software and serves
+    // before its record says so; it refused connections meanwhile.
+    engine_list engines;
+    engines.push_back(
+        std::make_unique<engine>("u1", "v1", "a", first_part::breaks_late));
+    engines.push_back(
+        std::make_unique<engine>("u2", "v2", "a", first_part::is_whole));
+    engines.push_back(
+        std::make_unique<engine>("u3", "v1", "b", first_part::is_whole));
+    auto records = records_of(engines);
+    records[1].m_software = software_version("v1");
+    std::string const address =
+        std::exchange(records[1].m_address, "127.0.0.1:1");
+    running_instance instance(make_slow_stream_catalog(),
+                              {records[1], records[2]});
+    CHECK(is_whole(instance.exchange(make_request("a0"))));
+    instance.set_upstreams({records[0], records[2]});
+    std::this_thread::sleep_for(1000ms);
+    std::string answer;
+    std::thread caller(
+        [&] { answer = instance.exchange(make_request("a1"), 4000ms); });
+    std::this_thread::sleep_for(300ms);
+    records[1].m_address = address;
+    instance.set_upstreams(records);
+    caller.join();
+    CHECK(versions_in(answer) == std::vector<std::string>(3, "v1"));
+    CHECK(is_whole(answer));
+}
+
 TEST_CASE("a stream is not joined while its process cannot be confirmed")
 {
     // Guards against the row of a process that was replaced while the store
--- a/tests/serving/process_history_test.cpp
+++ b/tests/serving/process_history_test.cpp
@@ -163,6 +163,36 @@
     CHECK_FALSE(history.is_proven(first, start));
 }
 
+TEST_CASE("a connection made after the end of a process is not one of it")
+{
+    // Guards against a record that outlives its process: the next one serves
+    // under the id before it has written its own.
+    process_history history = make_history();
+    upstream_process const first = make_process(unix_ms(start - 60s), "v1");
+    upstream_record const record = make_record(first.m_started, "v1");
+    history.note_list({record}, start, start);
+    CHECK(history.note_ended(first.m_upstream, first.m_started, start + 1s));
+    CHECK_FALSE(
+        history.note_ended(first.m_upstream, first.m_started, start + 2s));
+    history.note_list({record}, start + 2s, start + 2s);
+    CHECK(history.is_proven(first, start + 500ms));
+    CHECK(history.check(first, start + 1500ms).m_proof == process_proof::ended);
+    CHECK(history.check(first, start + 1500ms, true).m_proof ==
+          process_proof::ended);
+
+    // The next process may run the same software.
+    process_history restarted = history;
+    upstream_record const next = make_record(unix_ms(start + 1200ms), "v1");
+    restarted.note_list({next}, start + 3s, start + 3s);
+    CHECK(restarted.is_proven(first, start + 1500ms));
+
+    // It did not end: it goes on to write its record.
+    history.note_list({record}, start + 4s, start + 4s);
+    CHECK_FALSE(history.is_proven(first, start + 1500ms));
+    history.note_list({record}, start + 5s, start + 5s);
+    CHECK(history.is_proven(first, start + 1500ms));
+}
+
 TEST_CASE("streams of random restarts are proven, but not of other software")
 {
     // Rows are written at once or a heartbeat late, lists are read late, the
