Fix: [Streams] a check whether a process has ended suspects no request

Cause: the check reported a crash, and the requests whose streams broke off were suspected of it. Streams of the case are equal requests, which had then been in two crashes.

Evidence: 'upstream_crashed' and 'suspect' lines of all three instances, and 'quarantined' as the end of the refused requests.

Change: streams that break off together start a check of their own, which only notes the end of the process. What suspects requests is as before.

Tests: none of our own.

--- a/src/entry/crash_detector.cpp
+++ b/src/entry/crash_detector.cpp
@@ -40,9 +40,11 @@
 {
     time_point const now = boot_time();
     if (m_last_broken == upstream.m_id &&
-        now - m_last_broken_at <= broken_together)
+        now - m_last_broken_at <= broken_together &&
+        m_end_probes.insert(upstream.m_id).second)
     {
-        check(upstream);
+        run_once(m_executor, "end_probe",
+                 [this, upstream] { return probe_end(upstream); });
     }
     m_last_broken = upstream.m_id;
     m_last_broken_at = now;
@@ -63,4 +65,11 @@
     m_state.note_crash(run);
 }
 
+awaitable<void> crash_detector::probe_end(serving::upstream_record upstream)
+{
+    // The connector notes the end of the process.
+    co_await m_connector.reaches(upstream, probe_timeout);
+    m_end_probes.erase(upstream.m_id);
+}
+
 } // namespace daisylead::entry
