--- a/src/entry/http_connection.cpp
+++ b/src/entry/http_connection.cpp
@@ -139,9 +139,9 @@
         *endpoint, asio::redirect_error(asio::use_awaitable, failure));
     if (failure)
     {
-        co_return direct&& failure == asio::error::connection_refused
-            ? connect_result::refused
-            : failed;
+        bool const is_refused =
+            direct && failure == asio::error::connection_refused;
+        co_return is_refused ? connect_result::refused : failed;
     }
     m_stream.socket().set_option(asio::ip::tcp::no_delay(true), failure);
     connect_result const result =
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -3,6 +3,8 @@
 #include "platform/headers_func.hpp"
 
 #include <catch2/catch.hpp>
+
+#include <limits>
 #include <nlohmann/json.hpp>
 
 using namespace daisylead;
@@ -291,6 +293,17 @@
     CHECK_FALSE(platform::describe(header).m_tokens);
 }
 
+TEST_CASE("the sum of token counts does not overflow")
+{
+    // Guards against a request that counts as nothing against a token limit.
+    entry::request_header header;
+    header.method(boost::beast::http::verb::post);
+    header.target("/x");
+    header.set("X-Token-Count", "9223372036854775807,9223372036854775807");
+    CHECK(platform::describe(header).m_tokens ==
+          token_count(std::numeric_limits<std::int64_t>::max()));
+}
+
 TEST_CASE("an answer's fields are read")
 {
     entry::response_header header;
