Fix: [Streams] an answer that has no body is not sent in chunks

What callers saw: on a streaming route, an answer 204 or to HEAD came with a chunked framing and 5 bytes after its head.

Cause: each success on such a route was sent in chunks.

Ruled out: leaving the framing out in caller_connection only, as the two ends of a stream would then have to agree on it.

Change: answers that may have no body are passed on as whole ones.

Test: entry, 'an answer that has no body is not sent in chunks', failed before for both. Conclusion: closed.

--- a/src/entry/request_attempt.cpp
+++ b/src/entry/request_attempt.cpp
@@ -441,7 +441,7 @@
                 outcome_label = "not_resumed";
                 result = after_failure(true, "not_resumed");
             }
-            else if (success && m_route.m_streaming)
+            else if (success && m_route.m_streaming && may_have_body(status))
             {
                 result = co_await answer_stream(*m_upstream, place.m_upstream);
             }
@@ -511,6 +511,12 @@
     co_return result;
 }
 
+bool request_runner::may_have_body(int status) const
+{
+    return m_request.method() != http::verb::head &&
+           status != static_cast<int>(http::status::no_content);
+}
+
 awaitable<request_runner::next_action>
 request_runner::answer_whole(http_connection& upstream, answer_info const& info)
 {
@@ -570,9 +576,7 @@
     bool const is_event_stream = may_hold_events(media_type(fields));
     // All events may have come before the caller resumed the stream.
     bool const needs_event =
-        is_event_stream && m_request.method() != http::verb::head &&
-        status != static_cast<int>(http::status::no_content) &&
-        m_description.m_last_event.empty();
+        is_event_stream && m_description.m_last_event.empty();
     remove_connection_fields(fields);
     m_splitter.drop_partial();
     std::string bytes;
--- a/src/entry/request_runner.hpp
+++ b/src/entry/request_runner.hpp
@@ -94,6 +94,9 @@
     void return_connection();
     /** The current attempt is no longer in flight at its upstream. */
     void end_count();
+    /** @return whether an answer to this request with that status may have a
+     *          body. */
+    bool may_have_body(int status) const;
     awaitable<next_action> answer_whole(http_connection& upstream,
                                         answer_info const& info);
     awaitable<next_action>
--- a/tests/entry/stream_end_test.cpp
+++ b/tests/entry/stream_end_test.cpp
@@ -79,9 +79,8 @@
 
 /** @return what the caller of a stream got from upstreams that send these
  *          answers, one each. */
-received stream_of(std::vector<std::string> const& answers,
-                   std::string const& method = "POST",
-                   std::string const& fields = "")
+std::string bytes_of(std::vector<std::string> const& answers,
+                     std::string const& method, std::string const& fields)
 {
     serving::catalog catalog = make_open_catalog(400ms);
     for (serving::route& route : catalog.m_routes)
@@ -109,10 +108,18 @@
                                                upstreams.back()->address()));
     }
     running_instance instance(catalog, records);
-    return parse(instance.exchange(
+    return instance.exchange(
         method + " /again/x HTTP/1.1\r\nHost: h\r\nId: a1\r\n" + fields +
             "Connection: close\r\nContent-Length: 0\r\n\r\n",
-        500ms));
+        500ms);
+}
+
+/** @return the same, parsed. */
+received stream_of(std::vector<std::string> const& answers,
+                   std::string const& method = "POST",
+                   std::string const& fields = "")
+{
+    return parse(bytes_of(answers, method, fields));
 }
 
 framing const framings[] = {framing::chunks, framing::length,
@@ -225,6 +232,23 @@
           "HTTP/1.1 200 OK");
 }
 
+TEST_CASE("an answer that has no body is not sent in chunks")
+{
+    // Guards against bytes after the end of an answer on a streaming route.
+    std::string const head = make_answer(framing::chunks, "");
+    std::string const no_content =
+        "HTTP/1.1 204 No Content\r\nId: a1\r\nSeal: s\r\n\r\n";
+    for (std::string const& got :
+         {bytes_of({head.substr(0, head.find("\r\n\r\n") + 4)}, "HEAD", ""),
+          bytes_of({no_content}, "POST", "")})
+    {
+        CAPTURE(got);
+        CHECK(got.starts_with("HTTP/1.1 20"));
+        CHECK(got.find("\r\n\r\n") + 4 == got.size());
+        CHECK(got.find("chunked") == std::string::npos);
+    }
+}
+
 TEST_CASE("a stream that its caller resumes may have no event left")
 {
     // Guards against a caller that lost only the end of a stream and never
