Codechange: [Streams] the project's own conversion of durations for logs

Cause: describe() converted ages by a cast of its own, beside milliseconds_of(). Change: it calls that one; ages in the two log lines now have fractions. Checked: the 12 cases 'a stream*' of entry_test pass; the linter is clean for the file. Conclusion: one conversion.

--- a/src/entry/stream_directory.cpp
+++ b/src/entry/stream_directory.cpp
@@ -1,6 +1,7 @@
 /** @file Where streams began that callers may resume at any instance. */
 #include "stream_directory.hpp"
 
+#include <daisylead/base/milliseconds_func.hpp>
 #include <daisylead/telemetry/log_func.hpp>
 
 #include <boost/asio/redirect_error.hpp>
@@ -66,10 +67,7 @@
 {
     auto const age_ms = [now](std::optional<time_point> const& time)
     {
-        return time ? std::chrono::duration_cast<std::chrono::milliseconds>(
-                          now - *time)
-                          .count()
-                    : -1;
+        return time ? milliseconds_of(now - *time) : -1;
     };
     nlohmann::json fields = {{"upstream", origin.m_upstream.value()},
                              {"started", origin.m_started},
